--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! One gateway: reads its configuration, serves until told to stop, and exits when all is answered.
 #![forbid(unsafe_code)]
 
+use hingestage::net::admin::Door;
 use hingestage::net::config::Config;
 use hingestage::net::discovery::{follow, Book};
 use hingestage::net::driver::Driver;
@@ -49,9 +50,19 @@
     let listener = listener.map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
     let bound = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
     eprintln!("hingestage: listening on {bound}");
+    let door = match config.admin {
+        Some(at) => Some(TcpListener::bind(at).await.map_err(|e| format!("field `admin_addr`: {at}: {e}"))?),
+        None => None,
+    };
+    if let Some(at) = door.as_ref().and_then(|door| door.local_addr().ok()) {
+        eprintln!("hingestage: operators call at {at}");
+    }
     let driver = Driver::new(&config);
     let summed = driver.clone();
     let server = Server::new(driver.clone(), &config);
+    if let Some(listener) = door {
+        spawn_local(Door::new(server.clone()).answer_calls(listener));
+    }
     let (discovery, place) = watch::channel(config.discovery);
     let book = Book::default();
     book.apply(&driver, &config.known, ListScope::Cached);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,5 +1,6 @@
 //! What the gateway is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
 
+use crate::net::admin::CALLERS_MAX;
 use crate::net::discovery::HostList;
 use crate::settings::{flatten, settings, Fields, Names};
 use crate::{Micros, Settings};
@@ -15,6 +16,7 @@
     seed: String,
     limits: FileLimits,
     counter: Option<String>,
+    admin_addr: Option<String>,
     #[serde(default)]
     known: HostList,
     settings: serde_json::Value,
@@ -41,6 +43,8 @@
     pub discovery: SocketAddr,
     /// The counter, where there is one.
     pub counter: Option<SocketAddr>,
+    /// Where operators call; without it there is no door for them.
+    pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// The workers as this gateway last had them; may be old.
@@ -59,8 +63,9 @@
     pub worker_idle: Duration,
 }
 
-/// Descriptors kept back: listener, counter, discovery, runtime, standard streams, and each one's successor.
-const SPARE_SOCKETS: usize = 32;
+/// Descriptors kept back: listeners, counter, discovery, runtime, standard streams, each one's successor, and
+/// the operators' calls.
+const SPARE_SOCKETS: usize = 32 + CALLERS_MAX;
 
 impl Config {
     /// Reads the file that `RELAY_CONFIG` names. The message of an error names the field.
@@ -109,6 +114,7 @@
             listen: address("listen", variable("RELAY_LISTEN").or(file.listen))?,
             discovery: address("discovery", variable("RELAY_DISCOVERY").or(file.discovery))?,
             counter: counter(file.counter)?,
+            admin: optional("admin_addr", variable("RELAY_ADMIN_ADDR").or(file.admin_addr))?,
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("configuration: field `seed`: `{}` is not hexadecimal", file.seed))?,
             known: file.known,
@@ -123,7 +129,11 @@
 }
 
 fn counter(value: Option<String>) -> Result<Option<SocketAddr>, String> {
-    value.map(|at| address("counter", Some(at))).transpose()
+    optional("counter", value)
+}
+
+fn optional(field: &str, value: Option<String>) -> Result<Option<SocketAddr>, String> {
+    value.map(|at| address(field, Some(at))).transpose()
 }
 
 fn address(field: &str, value: Option<String>) -> Result<SocketAddr, String> {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The gateway on real sockets: carries events to the one [`crate::Gatekeeper`] and its actions out.
 
+pub mod admin;
 pub mod config;
 pub mod counter;
 pub mod discovery;
@@ -13,6 +14,9 @@
 /// The longest body, of a request or an answer, in bytes.
 pub const BODY_MAX: usize = 64 * 1024;
 
+/// Pause where the system has no descriptor left for a new connection.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Reports something odd from outside, sparsely: what repeats says so at powers of two only.
 pub fn note(count: &std::cell::Cell<u64>, what: impl std::fmt::Display) {
     count.set(count.get() + 1);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,7 +3,7 @@
 use crate::net::config::Config;
 use crate::net::driver::{Answer, Driver, Taken};
 use crate::net::workers::Parts;
-use crate::net::{decimal, note, BODY_MAX};
+use crate::net::{decimal, note, ACCEPT_PAUSE, BODY_MAX};
 use crate::settings::Names;
 use crate::{ClassId, CustomerId, Effect, PlanId};
 use bytes::Bytes;
@@ -35,11 +35,13 @@
 const HEAD_MAX: usize = 16 * 1024;
 /// How long new connections are taken in after the call to stop.
 const STILL_ACCEPT: Duration = Duration::from_millis(500);
+/// How long clients keep idle connections after the call to evacuate, and how often the rest is looked at.
+const EVACUATE_IDLE: Duration = Duration::from_millis(1_500);
+/// See `EVACUATE_IDLE`.
+const EVACUATE_AGAIN: Duration = Duration::from_millis(100);
 /// Multiple of the longest deadline past which a client's patience counts for nothing: the records of its
 /// requests would otherwise be kept for as long as it pleases.
 const PATIENCE_MAX: u32 = 4;
-/// Pause where the system has no descriptor left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// One client's connection, as far as closing it between requests goes.
 struct Client {
@@ -81,6 +83,16 @@
     }
 }
 
+/// What the clients' side is about.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Mode {
+    Serving,
+    /// Clients are sent away until an operator calls it off.
+    Evacuating,
+    /// The process ends.
+    Stopping,
+}
+
 /// The clients' side.
 pub struct Server {
     driver: Rc<Driver>,
@@ -93,7 +105,9 @@
     left: Notify,
     turns: Cell<u64>,
     ready: Cell<bool>,
-    stopping: Cell<bool>,
+    mode: Cell<Mode>,
+    /// Counts evacuations, so that an earlier one's end does not end the next.
+    evacuations: Cell<u64>,
     odd: Cell<u64>,
 }
 
@@ -111,7 +125,8 @@
             left: Notify::new(),
             turns: Cell::new(0),
             ready: Cell::new(false),
-            stopping: Cell::new(false),
+            mode: Cell::new(Mode::Serving),
+            evacuations: Cell::new(0),
             odd: Cell::new(0),
         })
     }
@@ -121,6 +136,41 @@
         self.ready.set(true);
     }
 
+    /// Whether newcomers are wanted and can be served.
+    pub fn is_up(&self) -> bool {
+        self.ready.get() && self.mode.get() == Mode::Serving
+    }
+
+    /// Whether this process takes clients, wanted or not.
+    pub fn takes_clients(&self) -> bool {
+        self.ready.get() && self.mode.get() != Mode::Stopping
+    }
+
+    /// Sends clients away, without an end to what was taken: newcomers are served once, idle clients are
+    /// closed when the front has had its time to learn of it.
+    pub fn evacuate(self: &Rc<Self>) {
+        if self.mode.get() != Mode::Serving {
+            return;
+        }
+        self.mode.set(Mode::Evacuating);
+        self.evacuations.set(self.evacuations.get() + 1);
+        let (server, this) = (self.clone(), self.evacuations.get());
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(EVACUATE_IDLE).await;
+            while server.mode.get() == Mode::Evacuating && server.evacuations.get() == this {
+                server.close_idle(|_| true);
+                tokio::time::sleep(EVACUATE_AGAIN).await;
+            }
+        });
+    }
+
+    /// Ends the evacuation.
+    pub fn activate(&self) {
+        if self.mode.get() == Mode::Evacuating {
+            self.mode.set(Mode::Serving);
+        }
+    }
+
     /// Takes connections in for ever. At the limit one that idles makes room, or the next waits in line.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         loop {
@@ -146,7 +196,7 @@
     /// taken is answered; those between requests are closed at once, while there is still someone to take in
     /// a request that crosses the closing.
     pub async fn stop(self: &Rc<Self>, listener: TcpListener, longest: Duration) {
-        self.stopping.set(true);
+        self.mode.set(Mode::Stopping);
         let until = Instant::now() + longest;
         self.close_idle(|client| client.served.get());
         let _ = tokio::time::timeout(STILL_ACCEPT, self.accept(&listener)).await;
@@ -194,7 +244,7 @@
             client.busy.set(true);
             async move {
                 let mut answer = server.answer(request, &client.taken).await;
-                if server.stopping.get() {
+                if server.mode.get() != Mode::Serving {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 client.busy.set(false);
@@ -217,7 +267,7 @@
             () = client.overdue() => return,
             () = client.close.notified() => {
                 // A newcomer that makes room may hang in the middle of a head.
-                if !client.taken.get() && !self.stopping.get() {
+                if !client.taken.get() && self.mode.get() != Mode::Stopping {
                     return;
                 }
                 conn.as_mut().graceful_shutdown()
@@ -232,8 +282,7 @@
     async fn answer(self: &Rc<Self>, request: Request<Incoming>, read: &Cell<bool>) -> Response<Full<Bytes>> {
         if request.uri().path() == "/up" && request.method() == Method::GET {
             read.set(true);
-            let up = self.ready.get() && !self.stopping.get();
-            return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+            return plain(if self.is_up() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let taken = match self.read(request).await {
             Ok(taken) => taken,
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -267,6 +267,13 @@
     format!("${}\r\n{text}\r\n", text.len())
 }
 
+/// That, with a door for operators.
+pub fn config_with_door(discovery: SocketAddr) -> Value {
+    let mut config = config(discovery, &[]);
+    config["admin_addr"] = "127.0.0.1:0".into();
+    config
+}
+
 /// The configuration of a lone gateway with three classes and two plans.
 pub fn config(discovery: SocketAddr, known: &[Value]) -> Value {
     json!({
@@ -295,6 +302,8 @@
 pub struct Gateway {
     child: Child,
     pub addr: SocketAddr,
+    /// The operators' door, where the configuration has one.
+    pub door: Option<SocketAddr>,
     folder: Folder,
 }
 
@@ -314,7 +323,7 @@
     let path = folder.0.join("config.json");
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_hingestage"));
-    for variable in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY"] {
+    for variable in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_ADMIN_ADDR"] {
         command.env_remove(variable);
     }
     let child = command.env("RELAY_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
@@ -332,18 +341,16 @@
     pub fn start(config: &Value) -> Gateway {
         let (mut child, folder) = spawn(&config.to_string());
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
-        log.read_line(&mut line).unwrap();
-        let addr = line
-            .trim()
-            .rsplit(' ')
-            .next()
-            .unwrap()
-            .parse()
-            .expect("the first log line ends with the address");
+        let mut address = || -> SocketAddr {
+            let mut line = String::new();
+            log.read_line(&mut line).unwrap();
+            line.trim().rsplit(' ').next().unwrap().parse().expect("the log line ends with the address")
+        };
+        let addr = address();
+        let door = config.get("admin_addr").map(|_| address());
         // What follows is drained, so that the program never waits for its log.
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
-        Gateway { child, addr, folder }
+        Gateway { child, addr, door, folder }
     }
 
     /// Starts and waits until requests can be served.
@@ -357,6 +364,22 @@
         gateway
     }
 
+    /// One call at the operators' door: all that it answers.
+    pub fn call(&self, line: &str) -> String {
+        let mut door = self.knock();
+        door.write_all(format!("{line}\n").as_bytes()).unwrap();
+        let mut answer = String::new();
+        door.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
+    /// A connection to the operators' door.
+    pub fn knock(&self) -> TcpStream {
+        let door = TcpStream::connect(self.door.expect("a door")).unwrap();
+        door.set_read_timeout(Some(PATIENCE)).unwrap();
+        door
+    }
+
     pub fn connect(&self) -> Client {
         self.try_connect().expect("the gateway takes no connection")
     }
