--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -11,7 +11,7 @@
 use tokio::time::{timeout, Duration};
 
 /// Callers at once. One more makes the one that has been here the longest leave.
-pub const CALLERS_MAX: usize = 16;
+pub const CALLERS_MAX: usize = 12;
 /// The longest call, bytes.
 const CALL_MAX: usize = 256;
 /// How long a caller may take over its call, and over taking the answer.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -65,7 +65,7 @@
 
 /// Descriptors kept back: listeners, counter, discovery, runtime, standard streams, each one's successor, and
 /// the operators' calls.
-const SPARE_SOCKETS: usize = 32 + CALLERS_MAX;
+const SPARE_SOCKETS: usize = 20 + CALLERS_MAX;
 
 impl Config {
     /// Reads the file that `RELAY_CONFIG` names. The message of an error names the field.
