--- a/src/main.rs
+++ b/src/main.rs
@@ -61,7 +61,7 @@
     let summed = driver.clone();
     let server = Server::new(driver.clone(), &config);
     if let Some(listener) = door {
-        spawn_local(Door::new(server.clone()).answer_calls(listener));
+        spawn_local(Door::new(server.clone(), driver.clone()).answer_calls(listener));
     }
     let (discovery, place) = watch::channel(config.discovery);
     let book = Book::default();
@@ -108,7 +108,7 @@
         _ = term.recv() => {}
     }
     server.stop(listener, config.longest_deadline() + STOP_SPARE).await;
-    let (ended, open) = summed.ended();
+    let (ended, open) = (summed.telemetry.total(), summed.telemetry.inflight());
     eprintln!("hingestage: stopped: {ended:?}, {open} unanswered");
     Ok(())
 }
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,5 +1,6 @@
 //! The operators' door: one line a connection, one answer, and the connection is closed.
 
+use crate::net::driver::Driver;
 use crate::net::server::Server;
 use crate::net::{note, ACCEPT_PAUSE};
 use std::cell::{Cell, RefCell};
@@ -21,6 +22,7 @@
 #[derive(Debug, PartialEq, Eq)]
 enum Call {
     Ready,
+    Telemetry,
     Evacuate,
     Activate,
 }
@@ -30,6 +32,7 @@
         let mut words = line.split_ascii_whitespace();
         let call = match words.next()? {
             "readyz" => Call::Ready,
+            "telemetry" => Call::Telemetry,
             "evacuate" => Call::Evacuate,
             "activate" => Call::Activate,
             _ => return None,
@@ -41,6 +44,7 @@
 /// What operators call on.
 pub struct Door {
     server: Rc<Server>,
+    driver: Rc<Driver>,
     callers: RefCell<VecDeque<(u64, Rc<Notify>)>>,
     next: Cell<u64>,
     odd: Cell<u64>,
@@ -48,8 +52,9 @@
 
 impl Door {
     /// A door to this gateway.
-    pub fn new(server: Rc<Server>) -> Rc<Door> {
-        Rc::new(Door { server, callers: RefCell::default(), next: Cell::new(0), odd: Cell::new(0) })
+    pub fn new(server: Rc<Server>, driver: Rc<Driver>) -> Rc<Door> {
+        let callers = RefCell::default();
+        Rc::new(Door { server, driver, callers, next: Cell::new(0), odd: Cell::new(0) })
     }
 
     /// Answers calls for ever.
@@ -112,6 +117,7 @@
         match call {
             Call::Ready if self.server.takes_clients() => "YES\n".into(),
             Call::Ready => "NO not yet\n".into(),
+            Call::Telemetry => self.driver.report() + "END\n",
             Call::Evacuate => {
                 self.server.evacuate();
                 "YES\n".into()
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,6 +2,7 @@
 
 use crate::net::config::Config;
 use crate::net::counter::Counter;
+use crate::net::telemetry::{End, Telemetry};
 use crate::net::workers::{Attempted, Parts, Progress, Served, Workers};
 use crate::{Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Micros, Outcome, PlanId};
 use crate::{Request, RequestId, WorkerId};
@@ -47,21 +48,6 @@
     },
 }
 
-/// How many requests have ended in which way.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Ended {
-    /// With a worker's answer.
-    pub served: u64,
-    /// Turned away.
-    pub refused: u64,
-    /// Without an answer in time.
-    pub late: u64,
-    /// Failed otherwise.
-    pub failed: u64,
-    /// The client left first.
-    pub left: u64,
-}
-
 /// A client's request as the server has read it.
 pub struct Taken {
     /// Whose it is.
@@ -86,6 +72,7 @@
     reply: Option<oneshot::Sender<Answer>>,
     /// By number; none once they have ended.
     attempts: Vec<Option<Running>>,
+    class: usize,
     late: bool,
 }
 
@@ -102,11 +89,12 @@
     pub workers: Workers,
     /// The counter's side.
     pub counter: Counter,
+    /// What has become of all requests.
+    pub telemetry: Telemetry,
     gatekeeper: RefCell<Gatekeeper>,
     clock: Clock,
     open: RefCell<HashMap<RequestId, Open>>,
     next: Cell<u64>,
-    ended: Cell<Ended>,
     events: RefCell<VecDeque<Event>>,
     feeding: Cell<bool>,
 }
@@ -116,14 +104,16 @@
     pub fn new(config: &Config) -> Rc<Driver> {
         let clock = Clock::new();
         let settings = config.settings.clone();
+        let telemetry = Telemetry::new(&config.names.classes);
+        let (connect, idle) = (config.connect_timeout, config.worker_idle);
         Rc::new(Driver {
-            workers: Workers::new(config.workers_max, config.connect_timeout, config.worker_idle),
+            workers: Workers::new(config.workers_max, connect, idle, telemetry.calls()),
+            telemetry,
             counter: Counter::new(config.counter, settings.counter_timeout),
             gatekeeper: RefCell::new(Gatekeeper::new(settings, config.seed, clock.now())),
             clock,
             open: RefCell::default(),
             next: Cell::new(0),
-            ended: Cell::default(),
             events: RefCell::default(),
             feeding: Cell::new(false),
         })
@@ -173,9 +163,10 @@
         self.next.set(self.next.get() + 1);
         let id = RequestId(self.next.get().to_string());
         let (reply, answer) = oneshot::channel();
-        let open =
-            Open { parts: Rc::new(taken.parts), reply: Some(reply), attempts: Vec::new(), late: false };
+        let (parts, class) = (Rc::new(taken.parts), taken.class.0);
+        let open = Open { parts, reply: Some(reply), attempts: Vec::new(), class, late: false };
         self.open.borrow_mut().insert(id.clone(), open);
+        self.telemetry.taken();
         let left = taken.until.saturating_duration_since(Instant::now()).saturating_sub(ANSWER_MARGIN);
         self.feed(Event::Request(Request {
             id: id.clone(),
@@ -262,12 +253,13 @@
         if let Some(open) = self.open.borrow_mut().get_mut(id) {
             if let Some(reply) = open.reply.take() {
                 let answer = answer(open);
-                self.count_end(|ended| match answer {
-                    Answer::Served(_) => &mut ended.served,
-                    Answer::Refused(_) => &mut ended.refused,
-                    Answer::Failed { late: true } => &mut ended.late,
-                    Answer::Failed { late: false } => &mut ended.failed,
-                });
+                let end = match answer {
+                    Answer::Served(_) => End::Served,
+                    Answer::Refused(_) => End::Refused,
+                    Answer::Failed { late: true } => End::Late,
+                    Answer::Failed { late: false } => End::Failed,
+                };
+                self.telemetry.ended(open.class, end);
                 // A client that has just left needs none.
                 let _ = reply.send(answer);
             }
@@ -276,23 +268,19 @@
     }
 
     fn client_gone(self: &Rc<Self>, id: &RequestId) {
-        let waited = self.open.borrow_mut().get_mut(id).and_then(|open| open.reply.take());
-        if waited.is_some() {
-            self.count_end(|ended| &mut ended.left);
+        let waits = |open: &mut Open| open.reply.take().map(|_| open.class);
+        let waited = self.open.borrow_mut().get_mut(id).and_then(waits);
+        if let Some(class) = waited {
+            self.telemetry.ended(class, End::Left);
             self.feed(Event::ClientGone(id.clone()));
             self.forget_if_over(id);
         }
     }
 
-    fn count_end(&self, which: impl FnOnce(&mut Ended) -> &mut u64) {
-        let mut ended = self.ended.get();
-        *which(&mut ended) += 1;
-        self.ended.set(ended);
-    }
-
-    /// How all requests so far have ended, and how many have not.
-    pub fn ended(&self) -> (Ended, usize) {
-        (self.ended.get(), self.open.borrow().values().filter(|open| open.reply.is_some()).count())
+    /// What operators are told when they ask for the figures.
+    pub fn report(&self) -> String {
+        let down = self.gatekeeper.borrow().workers_avoided(self.clock.now());
+        self.telemetry.report(self.workers.listed(), down)
     }
 
     fn forget_if_over(&self, id: &RequestId) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod driver;
 pub mod server;
+pub mod telemetry;
 pub mod wire;
 pub mod workers;
 
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -32,14 +32,27 @@
 pub struct Wire {
     stream: RefCell<Option<(TcpStream, Place)>>,
     written: Cell<u64>,
+    /// How much will have been written with a request's last byte, and the count of requests so written.
+    expected: Cell<Option<u64>>,
+    whole: Rc<Cell<u64>>,
     driver: RefCell<Option<AbortHandle>>,
 }
 
 impl Wire {
     /// Takes a connection in.
     pub fn new(stream: TcpStream, place: Place) -> Rc<Wire> {
-        let stream = RefCell::new(Some((stream, place)));
-        Rc::new(Wire { stream, written: Cell::new(0), driver: RefCell::new(None) })
+        Wire::counting(stream, place, Rc::default())
+    }
+
+    /// Takes a connection in whose requests count in `whole` once they are written.
+    pub fn counting(stream: TcpStream, place: Place, whole: Rc<Cell<u64>>) -> Rc<Wire> {
+        let (stream, driver) = (RefCell::new(Some((stream, place))), RefCell::default());
+        Rc::new(Wire { stream, written: Cell::new(0), expected: Cell::new(None), whole, driver })
+    }
+
+    /// Says that a request begins, which is whole with this many bytes written.
+    pub fn expect(&self, written: u64) {
+        self.expected.set(Some(written));
     }
 
     /// Names the task that drives it, which ends with it.
@@ -71,6 +84,10 @@
     fn count(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = polled {
             self.written.set(self.written.get() + n as u64);
+            if self.expected.get().is_some_and(|least| self.written.get() >= least) {
+                self.expected.set(None);
+                self.whole.set(self.whole.get() + 1);
+            }
         }
         polled
     }
--- a/src/net/workers.rs
+++ b/src/net/workers.rs
@@ -92,6 +92,7 @@
     /// From here on the request may be written. Below `least` bytes written it can't be whole.
     fn begin(&self, wire: &Rc<Wire>, parts: &Parts) {
         let least = wire.written() + 1 + parts.body.len() as u64;
+        wire.expect(least);
         *self.wire.borrow_mut() = Some((wire.clone(), least));
     }
 }
@@ -124,15 +125,16 @@
     most: usize,
     connect_timeout: Duration,
     keep_idle: Duration,
+    calls: Rc<Cell<u64>>,
     odd: Cell<u64>,
 }
 
 impl Workers {
     /// None known yet. Connections are retired at half the time after which workers close them: a request
-    /// that crosses the closing would be a reset, which may have run.
-    pub fn new(most: usize, connect_timeout: Duration, worker_idle: Duration) -> Self {
-        let (pools, open) = (RefCell::default(), Rc::default());
-        Workers { pools, open, most, connect_timeout, keep_idle: worker_idle / 2, odd: Cell::new(0) }
+    /// that crosses the closing would be a reset, which may have run. `calls` counts requests written whole.
+    pub fn new(most: usize, connect_timeout: Duration, worker_idle: Duration, calls: Rc<Cell<u64>>) -> Self {
+        let (pools, open, keep_idle) = (RefCell::default(), Rc::default(), worker_idle / 2);
+        Workers { pools, open, most, connect_timeout, keep_idle, calls, odd: Cell::new(0) }
     }
 
     /// Notes where a worker is, when it started and whether it takes work. Idle connections to one that does
@@ -162,6 +164,11 @@
         self.pools.borrow().contains_key(&id)
     }
 
+    /// How many workers the list names.
+    pub fn listed(&self) -> usize {
+        self.pools.borrow().len()
+    }
+
     /// Whether the list, as told so far, lets anything new go to this worker.
     pub fn takes_work(&self, id: WorkerId) -> bool {
         self.pools.borrow().get(&id).is_some_and(|pool| pool.ready)
@@ -249,7 +256,7 @@
         let connected = timeout_at(until, TcpStream::connect(addr)).await;
         let Ok(Ok(stream)) = connected else { return Err(Outcome::ConnectFailed) };
         let _ = stream.set_nodelay(true);
-        let wire = Wire::new(stream, place);
+        let wire = Wire::counting(stream, place, self.calls.clone());
         let io = TokioIo::new(WireIo(wire.clone()));
         let (sender, driver) = http1::handshake(io).await.map_err(|_| Outcome::ConnectFailed)?;
         let task = tokio::task::spawn_local(async move {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -801,6 +801,16 @@
         self.release_held(out);
     }
 
+    /// How many listed workers get nothing for now, though they would take it.
+    pub fn workers_avoided(&self, now: Micros) -> usize {
+        let classes = self.set.classes.len();
+        let avoided = |w: &&Worker| {
+            let classes_avoided = w.health.iter().take(classes).filter(|h| now < h.avoid_until).count();
+            w.info.availability == Availability::Ready && classes_avoided >= classes.min(2)
+        };
+        self.workers.values().filter(avoided).count()
+    }
+
     /// The share of its capacity that a worker has at the least.
     fn coldness(&self, w: &Worker, now: Micros) -> f64 {
         let age = w.info.started.map_or(f64::MAX, |at| now.saturating_sub(at) as f64);
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -64,3 +64,55 @@
         assert_eq!((answer.status(), answer.header("connection")), (200, None));
     }
 }
+
+/// The value of a figure in what the door tells.
+fn figure(gateway: &Gateway, name: &str) -> u64 {
+    let told = gateway.call("telemetry");
+    assert!(told.ends_with("\nEND\n"), "{told}");
+    let value = told.lines().find_map(|line| line.strip_prefix(&format!("{name} ")));
+    value.unwrap_or_else(|| panic!("no {name} in {told}")).parse().unwrap()
+}
+
+/// Waits until a figure has come to a value: what ends is counted about when the client reads of it.
+fn comes_to(gateway: &Gateway, name: &str, value: u64) {
+    let until = Instant::now() + PATIENCE;
+    while figure(gateway, name) != value {
+        assert!(Instant::now() < until, "{name} {}", figure(gateway, name));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn figures_tell_what_peers_saw() {
+    let worker = Worker::start(ok("served"));
+    let (gateway, _discovery) = stage(&worker);
+    for name in ["success{tier=\"pull\"}", "busy{tier=\"swap\"}", "failure{tier=\"push\"}", "backend_calls"] {
+        assert_eq!(figure(&gateway, &format!("app_{name}")), 0);
+    }
+    for _ in 0..3 {
+        assert_eq!(gateway.ask(&pull().text()).status(), 200);
+    }
+    let many = Ask { tier: "small", terms: "units=20,spread=1,first=0".into(), ..swap() };
+    for status in [200, 429] {
+        assert_eq!(gateway.ask(&many.text()).status(), status);
+    }
+    worker.set(Reply::Answer("500 Oops".into(), "no".into()));
+    assert_eq!(gateway.ask(&push().text()).status(), 502);
+    worker.set(Reply::Silence);
+    let mut waits = gateway.connect();
+    waits.send(&push().text());
+    comes_to(&gateway, "app_inflight", 1);
+    comes_to(&gateway, "app_backend_calls", 6);
+    for (name, value) in [
+        ("success{tier=\"pull\"}", 3),
+        ("success{tier=\"push\"}", 0),
+        ("success{tier=\"swap\"}", 1),
+        ("busy{tier=\"swap\"}", 1),
+        ("failure{tier=\"push\"}", 1),
+        ("hosts_listed", 1),
+    ] {
+        assert_eq!(figure(&gateway, &format!("app_{name}")), value, "{name}");
+    }
+    drop(waits);
+    comes_to(&gateway, "app_inflight", 0);
+}
