--- a/src/api.rs
+++ b/src/api.rs
@@ -1,5 +1,7 @@
 //! Types, settings, events and actions of the gatekeeper. No logic lives here.
 
+use serde::{Deserialize, Serialize};
+
 /// A point in time or a span, in microseconds. Points are read off one clock that never goes back.
 pub type Micros = u64;
 
@@ -8,11 +10,11 @@
 pub struct RequestId(pub String);
 
 /// A customer, whose plan's quota all its gateways share.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CustomerId(pub String);
 
 /// A worker process; it keeps its id when it restarts.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WorkerId(pub u64);
 
 /// A class of requests: its place in [`Settings::classes`].
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,3 +51,4 @@
 
 pub use api::*;
 pub use rules::Gatekeeper;
+pub use state::Handover;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,9 +5,11 @@
 use hingestage::net::config::Config;
 use hingestage::net::discovery::{follow, Book};
 use hingestage::net::driver::Driver;
+use hingestage::net::handover::{listen, meeting_place, Upgrade};
 use hingestage::net::server::Server;
 use hingestage::ListScope;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -46,8 +48,10 @@
 async fn serve(config: Config) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
+    let place = meeting_place(|name| std::env::var(name).ok());
+    let listened = listen(config.listen, place.as_deref()).await;
+    let (listener, predecessor) = listened.map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
+    let listener = Rc::new(listener);
     let bound = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
     eprintln!("hingestage: listening on {bound}");
     let door = match config.admin {
@@ -63,12 +67,14 @@
     if let Some(listener) = door {
         spawn_local(Door::new(server.clone(), driver.clone()).answer_calls(listener));
     }
-    let (discovery, place) = watch::channel(config.discovery);
-    let book = Book::default();
+    let (discovery, agent) = watch::channel(config.discovery);
+    let book = Rc::new(Book::default());
+    let limits = (config.clients_max, config.workers_max);
+    let upgrade = Upgrade::new(driver.clone(), server.clone(), book.clone(), limits);
     book.apply(&driver, &config.known, ListScope::Cached);
     spawn_local({
         let (driver, server) = (driver.clone(), server.clone());
-        follow(driver, book, place, config.known.rev, move || server.set_ready())
+        follow(driver, book, agent, config.known.rev, move || server.set_ready())
     });
     if !config.known.targets.is_empty() {
         // While discovery is down the list of before is all there is, and serves well enough.
@@ -103,10 +109,27 @@
             driver.workers.retire_idle();
         }
     });
+    server.set_accepts(predecessor.is_none());
+    let upgrades = spawn_local({
+        let listener = listener.clone();
+        async move {
+            if let Some(predecessor) = predecessor {
+                upgrade.take_over(predecessor).await;
+            }
+            if let Some(place) = place {
+                upgrade.offer(listener, place).await;
+            }
+        }
+    });
     tokio::select! {
         () = server.accept(&listener) => {}
+        () = server.until_left() => {}
         _ = term.recv() => {}
     }
+    if !server.is_retired() {
+        // The listening socket closes with its last user, and is not to be passed on any more.
+        upgrades.abort();
+    }
     server.stop(listener, config.longest_deadline() + STOP_SPARE).await;
     let (ended, open) = (summed.telemetry.total(), summed.telemetry.inflight());
     eprintln!("hingestage: stopped: {ended:?}, {open} unanswered");
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -75,6 +75,16 @@
         })
     }
 
+    /// All workers' names with their ids.
+    pub fn names(&self) -> Vec<(String, WorkerId)> {
+        self.ids.borrow().iter().map(|(uid, id)| (uid.clone(), *id)).collect()
+    }
+
+    /// What the ids of another process are here, by its names for them.
+    pub fn translate(&self, names: Vec<(String, WorkerId)>) -> HashMap<WorkerId, WorkerId> {
+        names.into_iter().take(IDS_MAX).map(|(uid, id)| (id, self.id(&uid))).collect()
+    }
+
     /// Brings pools and decisions to a list. `scope` says what the list covers.
     pub fn apply(&self, driver: &Rc<Driver>, list: &HostList, scope: ListScope) {
         let workers: Vec<WorkerInfo> = list.targets.iter().map(|t| self.worker(driver, t)).collect();
@@ -125,7 +135,7 @@
 /// Follows the list for ever, at wherever discovery is; calls `told` after each list or change.
 pub async fn follow(
     driver: Rc<Driver>,
-    book: Book,
+    book: Rc<Book>,
     mut place: watch::Receiver<SocketAddr>,
     rev: u64,
     told: impl Fn(),
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,7 +4,7 @@
 use crate::net::counter::Counter;
 use crate::net::telemetry::{End, Telemetry};
 use crate::net::workers::{Attempted, Parts, Progress, Served, Workers};
-use crate::{Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Micros, Outcome, PlanId};
+use crate::{Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Handover, Micros, Outcome, PlanId};
 use crate::{Request, RequestId, WorkerId};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -283,6 +283,22 @@
         self.telemetry.report(self.workers.listed(), down)
     }
 
+    /// Hands what is known over to the next process of this gateway, which takes what comes from now on.
+    pub fn hand_over(&self) -> Handover {
+        self.gatekeeper.borrow_mut().hand_over(self.clock.now())
+    }
+
+    /// Takes over from the process before; `ids` are its ids of the workers and ours.
+    pub fn take_over(&self, mut told: Handover, ids: &HashMap<WorkerId, WorkerId>) {
+        told.translate(ids);
+        self.gatekeeper.borrow_mut().take_over(told);
+    }
+
+    /// Goes on after all: the next process is no more.
+    pub fn carry_on(&self) {
+        self.gatekeeper.borrow_mut().carry_on(self.clock.now());
+    }
+
     fn forget_if_over(&self, id: &RequestId) {
         let mut all = self.open.borrow_mut();
         if all.get(id).is_some_and(|o| o.reply.is_none() && o.attempts.iter().all(Option::is_none)) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod counter;
 pub mod discovery;
 pub mod driver;
+pub mod handover;
 pub mod server;
 pub mod telemetry;
 pub mod wire;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -39,6 +39,10 @@
 const EVACUATE_IDLE: Duration = Duration::from_millis(1_500);
 /// See `EVACUATE_IDLE`.
 const EVACUATE_AGAIN: Duration = Duration::from_millis(100);
+/// How long idle connections are kept once a successor takes the new ones.
+const RETIRE_IDLE: Duration = Duration::from_millis(500);
+/// How often a process that leaves looks whether its last client has.
+const LEFT_AGAIN: Duration = Duration::from_millis(20);
 /// Multiple of the longest deadline past which a client's patience counts for nothing: the records of its
 /// requests would otherwise be kept for as long as it pleases.
 const PATIENCE_MAX: u32 = 4;
@@ -100,11 +104,16 @@
     effects: Vec<Effect>,
     instances: u32,
     patience_max: Duration,
-    clients_max: usize,
+    clients_max: Cell<usize>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     left: Notify,
     turns: Cell<u64>,
     ready: Cell<bool>,
+    /// Whether this process takes connections; what changes of that, or of readiness, is told by `turned`.
+    accepts: Cell<bool>,
+    retired: Cell<bool>,
+    turned: Notify,
+    told: Notify,
     mode: Cell<Mode>,
     /// Counts evacuations, so that an earlier one's end does not end the next.
     evacuations: Cell<u64>,
@@ -120,11 +129,15 @@
             effects: config.settings.classes.iter().map(|class| class.effect).collect(),
             instances: config.settings.instances.max(1),
             patience_max: config.longest_deadline() * PATIENCE_MAX,
-            clients_max: config.clients_max,
+            clients_max: Cell::new(config.clients_max),
             clients: RefCell::default(),
             left: Notify::new(),
             turns: Cell::new(0),
             ready: Cell::new(false),
+            accepts: Cell::new(true),
+            retired: Cell::new(false),
+            turned: Notify::new(),
+            told: Notify::new(),
             mode: Cell::new(Mode::Serving),
             evacuations: Cell::new(0),
             odd: Cell::new(0),
@@ -134,16 +147,78 @@
     /// Says from now on that requests can be served.
     pub fn set_ready(&self) {
         self.ready.set(true);
+        self.told.notify_one();
     }
 
-    /// Whether newcomers are wanted and can be served.
+    /// Returns once requests can be served.
+    pub async fn until_ready(&self) {
+        while !self.ready.get() {
+            self.told.notified().await;
+        }
+    }
+
+    /// Whether connections are taken from now on.
+    pub fn set_accepts(&self, accepts: bool) {
+        self.accepts.set(accepts);
+        self.retired.set(false);
+        self.turned.notify_one();
+    }
+
+    /// How many clients there may be from now on; those that idle beyond it are closed, the longest idle first.
+    pub fn set_clients_max(&self, most: usize) {
+        self.clients_max.set(most);
+        let beyond = self.clients.borrow().len().saturating_sub(most);
+        let mut idle: Vec<_> = self.clients.borrow().values().filter(|c| !c.busy.get()).cloned().collect();
+        idle.sort_by_key(|c| c.idle_since.get());
+        idle.iter().take(beyond).for_each(|c| c.close.notify_one());
+    }
+
+    /// Whether a successor takes the connections.
+    pub fn is_retired(&self) -> bool {
+        self.retired.get()
+    }
+
+    /// How many clients there are.
+    pub fn clients(&self) -> usize {
+        self.clients.borrow().len()
+    }
+
+    /// Returns once a successor takes the connections and the last client here has left.
+    pub async fn until_left(&self) {
+        while !self.retired.get() || !self.clients.borrow().is_empty() {
+            tokio::time::sleep(LEFT_AGAIN).await;
+        }
+    }
+
+    /// Leaves the clients to a successor: no connection is taken any more, and those there are end with their
+    /// next answer, or when they have idled for a moment.
+    pub fn retire(self: &Rc<Self>) {
+        self.set_accepts(false);
+        self.retired.set(true);
+        let server = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(RETIRE_IDLE).await;
+            while server.retired.get() {
+                server.close_idle(|_| true);
+                tokio::time::sleep(EVACUATE_AGAIN).await;
+            }
+        });
+    }
+
+    /// Whether newcomers are wanted and can be served, here or by a successor.
     pub fn is_up(&self) -> bool {
-        self.ready.get() && self.mode.get() == Mode::Serving
+        let mode = self.mode.get();
+        self.ready.get() && (mode == Mode::Serving || (mode == Mode::Stopping && self.retired.get()))
+    }
+
+    /// Whether an operator has had clients sent away.
+    pub fn evacuates(&self) -> bool {
+        self.mode.get() == Mode::Evacuating
     }
 
     /// Whether this process takes clients, wanted or not.
     pub fn takes_clients(&self) -> bool {
-        self.ready.get() && self.mode.get() != Mode::Stopping
+        self.ready.get() && self.accepts.get() && self.mode.get() != Mode::Stopping
     }
 
     /// Sends clients away, without an end to what was taken: newcomers are served once, idle clients are
@@ -174,13 +249,20 @@
     /// Takes connections in for ever. At the limit one that idles makes room, or the next waits in line.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         loop {
-            while self.clients.borrow().len() >= self.clients_max {
+            while !self.accepts.get() {
+                self.turned.notified().await;
+            }
+            while self.clients.borrow().len() >= self.clients_max.get() {
                 let left = self.left.notified();
                 self.close_an_idle_one();
                 // Newcomers turn silent while nobody leaves.
                 let _ = tokio::time::timeout(NEW_TIME / 4, left).await;
             }
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.turned.notified() => continue,
+            };
+            match accepted {
                 Ok((stream, _)) => self.admit(stream),
                 // Out of descriptors, or the client has gone already: neither may end the gateway.
                 Err(e) => {
@@ -194,14 +276,17 @@
 
     /// Stops as the deployment expects it: connections still come for a while and are taken in; all that was
     /// taken is answered; those between requests are closed at once, while there is still someone to take in
-    /// a request that crosses the closing.
-    pub async fn stop(self: &Rc<Self>, listener: TcpListener, longest: Duration) {
+    /// a request that crosses the closing. Where a successor takes connections, those here are left to idle a
+    /// moment longer: each that ends with an answer can't cross anything.
+    pub async fn stop(self: &Rc<Self>, listener: Rc<TcpListener>, longest: Duration) {
         self.mode.set(Mode::Stopping);
         let until = Instant::now() + longest;
-        self.close_idle(|client| client.served.get());
-        let _ = tokio::time::timeout(STILL_ACCEPT, self.accept(&listener)).await;
-        drop(listener);
-        self.close_idle(|_| true);
+        if !self.retired.get() {
+            self.close_idle(|client| client.served.get());
+            let _ = tokio::time::timeout(STILL_ACCEPT, self.accept(&listener)).await;
+            drop(listener);
+            self.close_idle(|_| true);
+        }
         while !self.clients.borrow().is_empty() && Instant::now() < until {
             let left = self.left.notified();
             let _ = tokio::time::timeout_at(until, left).await;
@@ -244,7 +329,7 @@
             client.busy.set(true);
             async move {
                 let mut answer = server.answer(request, &client.taken).await;
-                if server.mode.get() != Mode::Serving {
+                if server.mode.get() != Mode::Serving || server.retired.get() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 client.busy.set(false);
@@ -267,7 +352,7 @@
             () = client.overdue() => return,
             () = client.close.notified() => {
                 // A newcomer that makes room may hang in the middle of a head.
-                if !client.taken.get() && self.mode.get() != Mode::Stopping {
+                if !client.taken.get() && self.mode.get() != Mode::Stopping && !self.retired.get() {
                     return;
                 }
                 conn.as_mut().graceful_shutdown()
--- a/src/net/workers.rs
+++ b/src/net/workers.rs
@@ -122,7 +122,7 @@
 pub struct Workers {
     pools: RefCell<HashMap<WorkerId, Pool>>,
     open: Rc<Cell<usize>>,
-    most: usize,
+    most: Cell<usize>,
     connect_timeout: Duration,
     keep_idle: Duration,
     calls: Rc<Cell<u64>>,
@@ -134,6 +134,7 @@
     /// that crosses the closing would be a reset, which may have run. `calls` counts requests written whole.
     pub fn new(most: usize, connect_timeout: Duration, worker_idle: Duration, calls: Rc<Cell<u64>>) -> Self {
         let (pools, open, keep_idle) = (RefCell::default(), Rc::default(), worker_idle / 2);
+        let most = Cell::new(most);
         Workers { pools, open, most, connect_timeout, keep_idle, calls, odd: Cell::new(0) }
     }
 
@@ -164,6 +165,20 @@
         self.pools.borrow().contains_key(&id)
     }
 
+    /// How many connections there may be from now on; those that idle beyond it are closed.
+    pub fn set_most(&self, most: usize) {
+        self.most.set(most);
+        let mut pools = self.pools.borrow_mut();
+        for pool in pools.values_mut() {
+            while self.open.get() > most && pool.idle.pop().is_some() {}
+        }
+    }
+
+    /// How many connections are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
     /// How many workers the list names.
     pub fn listed(&self) -> usize {
         self.pools.borrow().len()
@@ -246,9 +261,9 @@
             }
             pool.addr
         };
-        let place = Place::take(&self.open, self.most).or_else(|| {
+        let place = Place::take(&self.open, self.most.get()).or_else(|| {
             self.close_an_idle_one();
-            Place::take(&self.open, self.most)
+            Place::take(&self.open, self.most.get())
         });
         let place = place.ok_or(Outcome::NotSent)?;
         // A machine that is cut off says nothing: the time-out is ours.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -85,6 +85,8 @@
 const COLD_PART: f64 = 1.0;
 /// Random draws of a worker before all are looked through.
 const DRAWS: usize = 8;
+/// Customers that a successor is told of, at most.
+const HANDED_MAX: usize = 20_000;
 /// Safety kept at the end of a key window, µs.
 const KEY_MARGIN: Micros = 50_000;
 
@@ -128,6 +130,8 @@
     rest_until: Micros,
     aged: Micros,
     ticking: bool,
+    /// A successor has taken over.
+    retired: bool,
 }
 
 impl Gatekeeper {
@@ -252,7 +256,7 @@
             others_rate: p.rate * (1.0 - 1.0 / n),
             // Whatever this gateway's former life drew, it cannot have drawn since it started: the local
             // share is taken as spent at the start, however late the customer shows up.
-            ceiling_at: self.started,
+            ceiling_at: if self.retired { self.now } else { self.started },
             ..Customer::default()
         });
         c.gateways = c.gateways.max(n);
@@ -279,7 +283,8 @@
         c.level = (c.level + (p.rate - others) * dt).min(p.burst);
         c.at = now;
         let depth = (p.ceiling_burst + p.ceiling_slack * SLACK_USED) / c.gateways;
-        c.ceiling = (c.ceiling + p.ceiling_rate / c.gateways * secs(now - c.ceiling_at)).min(depth);
+        let fill = if self.retired { 0.0 } else { p.ceiling_rate / c.gateways * secs(now - c.ceiling_at) };
+        c.ceiling = (c.ceiling + fill).min(depth);
         c.ceiling_at = now;
     }
 
@@ -477,6 +482,81 @@
         });
     }
 
+    // ---- the next process of this gateway ----
+
+    /// Hands over to a successor, which is this gateway from now on. What still comes here goes by what is kept:
+    /// half of each ceiling's store, of which nothing fills anew, and no cold worker.
+    pub fn hand_over(&mut self, now: Micros) -> Handover {
+        self.now = self.now.max(now);
+        let mut keys: Vec<Key> = self.customers.keys().cloned().collect();
+        keys.sort_by_key(|key| std::cmp::Reverse(self.customers[key].seen));
+        let whole = keys.len() <= HANDED_MAX;
+        let mut customers = Vec::new();
+        for key in keys.into_iter().take(HANDED_MAX) {
+            self.advance(&key);
+            let Some(c) = self.customers.get_mut(&key) else { continue };
+            c.ceiling = c.ceiling.min(c.ceiling / 2.0);
+            // What the counter has yet to hear from here will be the others' to the successor.
+            let others = c.cur.others + (c.pending + c.flying).max(0.0);
+            customers.push((key, Customer { cur: Slot { others, ..c.cur }, ..c.clone() }));
+        }
+        self.retired = true;
+        let record = |w: &Worker| Record {
+            id: w.info.id,
+            started: w.info.started,
+            slow: w.slow,
+            samples: w.samples,
+            at: w.at,
+            health: w.health.clone(),
+            credit: self.credit(w),
+            credit_at: self.now,
+        };
+        Handover {
+            now: self.now,
+            // Customers that it is not told of have a full store, unless some had to be left out.
+            started: if whole { self.started } else { self.now },
+            customers,
+            workers: self.workers.values().map(record).collect(),
+            typical: self.typical.clone(),
+            usual: self.usual.clone(),
+            pressure: (self.pressure, self.unpressed, self.limit),
+            answers: self.answers,
+            call_gap: (self.call_gap, self.call_gap_good),
+        }
+    }
+
+    /// Goes on where the process before stopped, as far as what it says fits the settings.
+    pub fn take_over(&mut self, told: Handover) {
+        if told.typical.len() != self.typical.len() || told.usual.len() != self.usual.len() {
+            return;
+        }
+        self.now = self.now.max(told.now);
+        (self.started, self.typical, self.usual) = (told.started, told.typical, told.usual);
+        (self.pressure, self.unpressed, self.limit) = told.pressure;
+        (self.answers, (self.call_gap, self.call_gap_good)) = (told.answers, told.call_gap);
+        let plans = self.set.plans.len();
+        self.customers.extend(told.customers.into_iter().filter(|(key, _)| key.0 < plans).take(TABLE_MAX));
+        let classes = self.typical.len();
+        for r in told.workers.into_iter().filter(|r| r.health.len() == classes) {
+            let Some(w) = self.workers.get_mut(&r.id).filter(|w| w.info.started == r.started) else {
+                continue;
+            };
+            (w.slow, w.samples, w.at, w.health) = (r.slow, r.samples, r.at, r.health);
+            (w.credit, w.credit_at) = (r.credit, r.credit_at);
+        }
+    }
+
+    /// The successor is no more: this process is the gateway again. What it handed over counts as spent.
+    pub fn carry_on(&mut self, now: Micros) {
+        self.now = self.now.max(now);
+        let keys: Vec<Key> = self.customers.keys().cloned().collect();
+        keys.iter().for_each(|key| self.advance(key));
+        (self.retired, self.started) = (false, self.now);
+        for w in self.workers.values_mut() {
+            (w.credit, w.credit_at) = (0.0, self.now);
+        }
+    }
+
     // ---- requests: taken, sent, ended ----
 
     fn on_request(&mut self, r: Request, out: &mut Vec<Action>) {
@@ -569,7 +649,7 @@
             return false;
         }
         if w.info.availability != Availability::Ready
-            || (self.coldness(w, self.now) < 1.0 && self.credit(w) < 1.0)
+            || (self.coldness(w, self.now) < 1.0 && (self.retired || self.credit(w) < 1.0))
         {
             return false;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,10 @@
 //! Records that the decisions in `src/rules.rs` keep, and helpers without a choice in them.
 use crate::api::*;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 
 /// One customer's own and others' units in one slot, as the counter has them.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Slot {
     pub mine: f64,
     pub others: f64,
@@ -11,7 +13,8 @@
 
 pub type Key = (usize, CustomerId);
 
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Customer {
     pub gateways: f64,
     /// Moves this customer's slots, so that not all customers start one at the same time.
@@ -19,8 +22,11 @@
     pub slot: u64,
     pub cur: Slot,
     pub prev: Slot,
+    #[serde(skip)]
     pub pending: f64,
+    #[serde(skip)]
     pub pending_since: Micros,
+    #[serde(skip)]
     pub flying: f64,
     pub known: bool,
     pub level: f64,
@@ -31,17 +37,21 @@
     pub boxed_until: Micros,
     pub ceiling: f64,
     pub ceiling_at: Micros,
+    #[serde(skip)]
     pub open: f64,
     pub seen: Micros,
     /// Calls to the counter in flight, the requests whose decision waits for their answers, and the units of
     /// these that are in the counts already.
+    #[serde(skip)]
     pub calls_out: u32,
+    #[serde(skip)]
     pub waiting: Vec<RequestId>,
+    #[serde(skip)]
     pub prepaid: f64,
 }
 
 /// What one class of requests met at one worker.
-#[derive(Clone, Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Health {
     pub answered: Micros,
     pub avoid_until: Micros,
@@ -61,6 +71,49 @@
     pub credit_at: Micros,
 }
 
+/// What a gateway's next process has to know, to go on where the last one stopped.
+#[derive(Default, Serialize, Deserialize)]
+pub struct Handover {
+    /// The clock, and when the gateway started.
+    pub(crate) now: Micros,
+    pub(crate) started: Micros,
+    pub(crate) customers: Vec<(Key, Customer)>,
+    pub(crate) workers: Vec<Record>,
+    pub(crate) typical: Vec<f64>,
+    pub(crate) usual: Vec<(Micros, u32)>,
+    /// Pressure, now and unloaded, and the in-flight limit.
+    pub(crate) pressure: (f64, f64, f64),
+    pub(crate) answers: f64,
+    /// The pace of calls, now and last known to work.
+    pub(crate) call_gap: (f64, f64),
+}
+
+impl Handover {
+    /// Gives the workers the ids that they have here; those without one are left out.
+    pub(crate) fn translate(&mut self, ids: &HashMap<WorkerId, WorkerId>) {
+        self.workers.retain_mut(|record| match ids.get(&record.id) {
+            Some(id) => {
+                record.id = *id;
+                true
+            }
+            None => false,
+        });
+    }
+}
+
+/// What is known of a worker.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Record {
+    pub id: WorkerId,
+    pub started: Option<Micros>,
+    pub slow: f64,
+    pub samples: f64,
+    pub at: Micros,
+    pub health: Vec<Health>,
+    pub credit: f64,
+    pub credit_at: Micros,
+}
+
 pub struct Attempt {
     pub worker: WorkerId,
     pub zone: Zone,
--- a/tests/five_rules.rs
+++ b/tests/five_rules.rs
@@ -265,3 +265,37 @@
 fn the_same_events_give_the_same_actions() {
     assert_eq!(random_walk(3), random_walk(3));
 }
+
+/// A restart starts from nothing; an upgrade does not.
+#[test]
+fn a_successor_and_its_predecessor_spend_one_ceiling_together() {
+    let mut figures = settings();
+    (figures.instances, figures.counter) = (1, false);
+    figures.plans[1].over_earns = 2.0;
+    // Sends until nothing more goes, at one moment.
+    let spend = |s: &mut Stage, times: usize| {
+        let before = s.sends.len();
+        for _ in 0..times {
+            s.ask("c", 0, 1, 1.0);
+            if !s.out.is_empty() {
+                s.done(Outcome::Ok);
+            }
+        }
+        s.sends.len() - before
+    };
+    for seen in [0, 10] {
+        let mut old = Stage::new(figures.clone(), &[1, 2, 3]);
+        let mut alone = Stage::new(figures.clone(), &[1, 2, 3]);
+        for stage in [&mut old, &mut alone] {
+            stage.pass(20 * S);
+            assert_eq!(spend(stage, seen), seen);
+        }
+        let whole = spend(&mut alone, 100);
+        let text = serde_json::to_string(&old.keeper.hand_over(old.now)).unwrap();
+        let mut new = Stage::new(figures.clone(), &[1, 2, 3]);
+        new.now = old.now;
+        new.keeper.take_over(serde_json::from_str(&text).unwrap());
+        let (at_old, at_new) = (spend(&mut old, 100), spend(&mut new, 100));
+        assert!(at_new > 0 && at_old + at_new <= whole, "{at_old} and {at_new}, of {whole}");
+    }
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -116,3 +116,93 @@
     drop(waits);
     comes_to(&gateway, "app_inflight", 0);
 }
+
+#[test]
+fn an_upgrade_takes_over_quotas_and_connections_and_the_old_process_leaves() {
+    let worker = Worker::start(ok("served"));
+    let (mut old, discovery) = stage(&worker);
+    let many = Ask { tier: "small", terms: "units=20,spread=1,first=0".into(), ..swap() };
+    let mut kept = old.connect();
+    assert_eq!(kept.ask(&many.text()).status(), 200);
+    let new = old.upgrade(&config_with_door(discovery.addr));
+    new.wait_for_yes();
+    assert!(old.call("readyz").starts_with("NO"), "two processes say that they take clients");
+    // What the old one let in counts at the new one.
+    assert_eq!(new.ask(&many.text()).status(), 429);
+    assert_eq!(new.ask(&pull().text()).status(), 200);
+    assert_eq!(figure(&new, "app_success{tier=\"pull\"}"), 1);
+    let answer = kept.ask(&pull().text());
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert_eq!(old.exit_code(), Some(0), "it leaves without being told to");
+    assert_eq!(new.ask(&pull().text()).status(), 200);
+}
+
+#[test]
+fn connections_that_wait_to_be_taken_survive_an_upgrade() {
+    let worker = Worker::start(ok("served"));
+    let (old, discovery) = stage(&worker);
+    let new = old.upgrade(&config_with_door(discovery.addr));
+    let mut codes = Vec::new();
+    while !new.call("readyz").starts_with("YES") {
+        codes.push(new.ask(&pull().text()).status());
+    }
+    old.terminate();
+    codes.extend((0..50).map(|_| new.ask(&pull().text()).status()));
+    assert!(codes.iter().all(|code| *code == 200), "{codes:?}");
+}
+
+#[test]
+fn the_old_process_serves_on_where_the_new_one_ends_first() {
+    let worker = Worker::start(ok("served"));
+    let (old, discovery) = stage(&worker);
+    // One that dies before it is ready: it never hears of a list.
+    let mute = Discovery::start();
+    mute.speaks.store(0, std::sync::atomic::Ordering::SeqCst);
+    let dead = old.upgrade(&config_with_door(mute.addr));
+    assert!(dead.call("readyz").starts_with("NO"));
+    assert_eq!(old.ask(&pull().text()).status(), 200);
+    dead.kill();
+    // And one that dies once it has taken over, while the old one still has a client.
+    let mut kept = old.connect();
+    worker.set(Reply::Silence);
+    kept.send(&push().text());
+    worker.request();
+    worker.request();
+    let dead = old.upgrade(&config_with_door(discovery.addr));
+    dead.wait_for_yes();
+    dead.kill();
+    worker.set(ok("served"));
+    old.wait_for_yes();
+    assert_eq!(old.ask(&pull().text()).status(), 200);
+    assert_eq!(old.ask(UP).status(), 200);
+}
+
+#[test]
+fn nobody_or_nonsense_at_the_meeting_place_holds_no_start_up() {
+    use std::os::unix::net::UnixListener;
+    let worker = Worker::start(ok("served"));
+    let discovery = Discovery::start();
+    discovery.list(2, true, &[worker.listed("w0", "up")]);
+    for how in ["stale", "silent", "nonsense"] {
+        let folder = folder();
+        let place = folder.path("hingestage.sock");
+        let peer = match how {
+            "stale" => {
+                std::fs::write(&place, "what a dead process left").unwrap();
+                None
+            }
+            _ => Some(UnixListener::bind(&place).unwrap()),
+        };
+        if let ("nonsense", Some(peer)) = (how, &peer) {
+            let peer = peer.try_clone().unwrap();
+            std::thread::spawn(move || {
+                for mut stream in peer.incoming().flatten() {
+                    let _ = stream.write_all(&[0xff; 100_000]);
+                }
+            });
+        }
+        let gateway = Gateway::start_in(folder, &config_with_door(discovery.addr));
+        gateway.wait_for_yes();
+        assert_eq!(gateway.ask(&pull().text()).status(), 200, "{how}");
+    }
+}
