--- a/src/rules.rs
+++ b/src/rules.rs
@@ -484,8 +484,8 @@
 
     // ---- the next process of this gateway ----
 
-    /// Hands over to a successor, which is this gateway from now on. What still comes here goes by what is kept:
-    /// half of each ceiling's store, of which nothing fills anew, and no cold worker.
+    /// Hands over to a successor, which is this gateway from now on. What still comes here goes by what is
+    /// kept: half of each ceiling's store, of which nothing fills anew, and no cold worker.
     pub fn hand_over(&mut self, now: Micros) -> Handover {
         self.now = self.now.max(now);
         let mut keys: Vec<Key> = self.customers.keys().cloned().collect();
