--- a/src/api.rs
+++ b/src/api.rs
@@ -284,6 +284,13 @@
 pub enum Event {
     /// News of the workers.
     Workers(WorkerList),
+    /// An operator leaves a worker out, whatever is listed, or puts it back.
+    ByHand {
+        /// Which worker.
+        worker: WorkerId,
+        /// Whether it is left out from now on.
+        out: bool,
+    },
     /// A request has come in.
     Request(Request),
     /// A timer fired.
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,12 +2,14 @@
 #![forbid(unsafe_code)]
 
 use hingestage::net::admin::Door;
+use hingestage::net::by_hand::ByHand;
 use hingestage::net::config::Config;
 use hingestage::net::discovery::{follow, Book};
 use hingestage::net::driver::Driver;
 use hingestage::net::handover::{listen, meeting_place, Upgrade};
 use hingestage::net::server::Server;
 use hingestage::ListScope;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,7 +50,8 @@
 async fn serve(config: Config) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
-    let place = meeting_place(|name| std::env::var(name).ok());
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from);
+    let place = folder.as_deref().map(meeting_place);
     let listened = listen(config.listen, place.as_deref()).await;
     let (listener, predecessor) = listened.map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
     let listener = Rc::new(listener);
@@ -64,13 +67,15 @@
     let driver = Driver::new(&config);
     let summed = driver.clone();
     let server = Server::new(driver.clone(), &config);
-    if let Some(listener) = door {
-        spawn_local(Door::new(server.clone(), driver.clone()).answer_calls(listener));
-    }
     let (discovery, agent) = watch::channel(config.discovery);
     let book = Rc::new(Book::default());
+    let by_hand = ByHand::new(driver.clone(), book.clone(), folder.as_deref());
     let limits = (config.clients_max, config.workers_max);
-    let upgrade = Upgrade::new(driver.clone(), server.clone(), book.clone(), limits);
+    let upgrade = Upgrade::new(driver.clone(), server.clone(), book.clone(), by_hand.clone(), limits);
+    by_hand.follow();
+    if let Some(listener) = door {
+        spawn_local(Door::new(server.clone(), by_hand).answer_calls(listener));
+    }
     book.apply(&driver, &config.known, ListScope::Cached);
     spawn_local({
         let (driver, server) = (driver.clone(), server.clone());
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,6 +1,6 @@
 //! The operators' door: one line a connection, one answer, and the connection is closed.
 
-use crate::net::driver::Driver;
+use crate::net::by_hand::ByHand;
 use crate::net::server::Server;
 use crate::net::{note, ACCEPT_PAUSE};
 use std::cell::{Cell, RefCell};
@@ -23,6 +23,8 @@
 enum Call {
     Ready,
     Telemetry,
+    Exclude(String),
+    Include(String),
     Evacuate,
     Activate,
 }
@@ -33,6 +35,8 @@
         let call = match words.next()? {
             "readyz" => Call::Ready,
             "telemetry" => Call::Telemetry,
+            "exclude" => Call::Exclude(words.next()?.into()),
+            "include" => Call::Include(words.next()?.into()),
             "evacuate" => Call::Evacuate,
             "activate" => Call::Activate,
             _ => return None,
@@ -44,7 +48,7 @@
 /// What operators call on.
 pub struct Door {
     server: Rc<Server>,
-    driver: Rc<Driver>,
+    by_hand: Rc<ByHand>,
     callers: RefCell<VecDeque<(u64, Rc<Notify>)>>,
     next: Cell<u64>,
     odd: Cell<u64>,
@@ -52,9 +56,9 @@
 
 impl Door {
     /// A door to this gateway.
-    pub fn new(server: Rc<Server>, driver: Rc<Driver>) -> Rc<Door> {
+    pub fn new(server: Rc<Server>, by_hand: Rc<ByHand>) -> Rc<Door> {
         let callers = RefCell::default();
-        Rc::new(Door { server, driver, callers, next: Cell::new(0), odd: Cell::new(0) })
+        Rc::new(Door { server, by_hand, callers, next: Cell::new(0), odd: Cell::new(0) })
     }
 
     /// Answers calls for ever.
@@ -117,7 +121,10 @@
         match call {
             Call::Ready if self.server.takes_clients() => "YES\n".into(),
             Call::Ready => "NO not yet\n".into(),
-            Call::Telemetry => self.driver.report() + "END\n",
+            Call::Telemetry => self.by_hand.driver.report() + "END\n",
+            Call::Exclude(uid) if self.by_hand.set(&uid, true) => "YES\n".into(),
+            Call::Include(uid) if self.by_hand.set(&uid, false) => "YES\n".into(),
+            Call::Exclude(_) | Call::Include(_) => "NO never listed\n".into(),
             Call::Evacuate => {
                 self.server.evacuate();
                 "YES\n".into()
@@ -138,7 +145,8 @@
     fn a_call_is_one_known_word_and_nothing_more() {
         assert_eq!(Call::parse("readyz\r"), Some(Call::Ready));
         assert_eq!(Call::parse(" evacuate "), Some(Call::Evacuate));
-        for bad in ["", "ready", "READYZ", "readyz now", "activate evacuate"] {
+        assert_eq!(Call::parse("exclude s-1"), Some(Call::Exclude("s-1".into())));
+        for bad in ["exclude", "include s-1 s-2", "", "ready", "READYZ", "readyz now", "activate evacuate"] {
             assert_eq!(Call::parse(bad), None, "{bad}");
         }
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -68,7 +68,13 @@
 }
 
 impl Book {
-    fn id(&self, uid: &str) -> WorkerId {
+    /// The id of a worker that has been listed.
+    pub fn listed(&self, uid: &str) -> Option<WorkerId> {
+        self.ids.borrow().get(uid).copied()
+    }
+
+    /// The id of a worker, listed or not.
+    pub fn id(&self, uid: &str) -> WorkerId {
         *self.ids.borrow_mut().entry(uid.to_owned()).or_insert_with(|| {
             self.next.set(self.next.get() + 1);
             WorkerId(self.next.get())
@@ -94,7 +100,7 @@
         }
         // A worker that comes back keeps its id; only a fleet's many former lives are forgotten.
         if self.ids.borrow().len() > IDS_MAX {
-            self.ids.borrow_mut().retain(|_, id| driver.workers.lists(*id));
+            self.ids.borrow_mut().retain(|_, id| driver.workers.keeps(*id));
         }
         driver.feed(Event::Workers(WorkerList { scope, workers }));
         driver.recall_unwritten();
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -218,6 +218,13 @@
         self.tell_end(id, n, outcome, running.sent, None);
     }
 
+    /// Leaves a worker out by hand, or puts it back; in force once this returns.
+    pub fn by_hand(self: &Rc<Self>, worker: WorkerId, out: bool) {
+        self.workers.set_left_out(worker, out);
+        self.feed(Event::ByHand { worker, out });
+        self.recall_unwritten();
+    }
+
     /// Calls off what waits for a connection to a worker that takes no more work: once told of a drain,
     /// nothing new may go out, and a connect that hangs would sit on the request for nothing.
     pub fn recall_unwritten(self: &Rc<Self>) {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -1,6 +1,7 @@
 //! An upgrade: the new process of this gateway finds the old one by a Unix socket, is passed its listening
 //! socket and what it knows, and takes its place.
 
+use crate::net::by_hand::ByHand;
 use crate::net::discovery::Book;
 use crate::net::driver::Driver;
 use crate::net::note;
@@ -56,8 +57,8 @@
 }
 
 /// Where the processes of this gateway meet, in the folder that they share.
-pub fn meeting_place(variable: impl Fn(&str) -> Option<String>) -> Option<PathBuf> {
-    variable("TMPDIR").filter(|folder| !folder.is_empty()).map(|folder| Path::new(&folder).join(SOCKET))
+pub fn meeting_place(folder: &Path) -> PathBuf {
+    folder.join(SOCKET)
 }
 
 /// The old process, as the new one sees it.
@@ -146,6 +147,7 @@
     driver: Rc<Driver>,
     server: Rc<Server>,
     book: Rc<Book>,
+    by_hand: Rc<ByHand>,
     clients_max: usize,
     workers_max: usize,
     odd: Cell<u64>,
@@ -157,9 +159,10 @@
         driver: Rc<Driver>,
         server: Rc<Server>,
         book: Rc<Book>,
+        by_hand: Rc<ByHand>,
         (clients_max, workers_max): (usize, usize),
     ) -> Rc<Upgrade> {
-        Rc::new(Upgrade { driver, server, book, clients_max, workers_max, odd: Cell::new(0) })
+        Rc::new(Upgrade { driver, server, book, by_hand, clients_max, workers_max, odd: Cell::new(0) })
     }
 
     /// Takes over from the process before, as soon as requests can be served, and from then on takes
@@ -184,12 +187,14 @@
             Ok(Err(e)) => eprintln!("hingestage: taken over without what was known: {e}"),
             Err(_) => eprintln!("hingestage: taken over without what was known: no answer in time"),
         }
+        self.by_hand.follow();
         self.server.set_accepts(true);
         let upgrade = self.clone();
         tokio::task::spawn_local(async move {
             // Until the old process has ended, which closes the connection.
             while let Ok(Some(held)) = line::<Held>(&mut from.read).await {
                 upgrade.divide(&held);
+                upgrade.by_hand.follow();
             }
             upgrade.divide(&Held { clients: 0, workers: 0 });
             drop(from.write);
@@ -256,6 +261,7 @@
     ) -> io::Result<()> {
         say(write, known).await?;
         loop {
+            self.by_hand.follow();
             self.server.set_clients_max(self.clients_max / 2);
             // What is out finishes; the rest is the new process's.
             self.driver.workers.set_most((self.workers_max / 4).max(1));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway on real sockets: carries events to the one [`crate::Gatekeeper`] and its actions out.
 
 pub mod admin;
+pub mod by_hand;
 pub mod config;
 pub mod counter;
 pub mod discovery;
--- a/src/net/workers.rs
+++ b/src/net/workers.rs
@@ -121,6 +121,8 @@
 /// Connections to all workers.
 pub struct Workers {
     pools: RefCell<HashMap<WorkerId, Pool>>,
+    /// Those that get nothing new, whatever the list says.
+    left_out: RefCell<HashSet<WorkerId>>,
     open: Rc<Cell<usize>>,
     most: Cell<usize>,
     connect_timeout: Duration,
@@ -135,7 +137,8 @@
     pub fn new(most: usize, connect_timeout: Duration, worker_idle: Duration, calls: Rc<Cell<u64>>) -> Self {
         let (pools, open, keep_idle) = (RefCell::default(), Rc::default(), worker_idle / 2);
         let most = Cell::new(most);
-        Workers { pools, open, most, connect_timeout, keep_idle, calls, odd: Cell::new(0) }
+        let left_out = RefCell::default();
+        Workers { pools, left_out, open, most, connect_timeout, keep_idle, calls, odd: Cell::new(0) }
     }
 
     /// Notes where a worker is, when it started and whether it takes work. Idle connections to one that does
@@ -160,9 +163,9 @@
         self.pools.borrow_mut().retain(|id, _| named.contains(id));
     }
 
-    /// Whether the list names this worker.
-    pub fn lists(&self, id: WorkerId) -> bool {
-        self.pools.borrow().contains_key(&id)
+    /// Whether the list names this worker, or it is left out by hand.
+    pub fn keeps(&self, id: WorkerId) -> bool {
+        self.pools.borrow().contains_key(&id) || self.left_out.borrow().contains(&id)
     }
 
     /// How many connections there may be from now on; those that idle beyond it are closed.
@@ -184,9 +187,20 @@
         self.pools.borrow().len()
     }
 
-    /// Whether the list, as told so far, lets anything new go to this worker.
+    /// Leaves a worker out, or no longer.
+    pub fn set_left_out(&self, id: WorkerId, out: bool) {
+        if !out {
+            self.left_out.borrow_mut().remove(&id);
+        } else if self.left_out.borrow_mut().insert(id) {
+            // It will be another process when it is put back.
+            self.pools.borrow_mut().entry(id).and_modify(|pool| pool.idle.clear());
+        }
+    }
+
+    /// Whether anything new may go to this worker, as far as the list and operators have told.
     pub fn takes_work(&self, id: WorkerId) -> bool {
-        self.pools.borrow().get(&id).is_some_and(|pool| pool.ready)
+        let listed = self.pools.borrow().get(&id).is_some_and(|pool| pool.ready);
+        listed && !self.left_out.borrow().contains(&id)
     }
 
     /// Closes connections that have been idle for long.
@@ -242,8 +256,11 @@
             return;
         }
         (conn.idle_since, conn.used) = (Instant::now(), true);
+        if !self.takes_work(worker) {
+            return;
+        }
         if let Some(pool) = self.pools.borrow_mut().get_mut(&worker) {
-            if pool.ready && pool.idle.len() < IDLE_MAX {
+            if pool.idle.len() < IDLE_MAX {
                 pool.idle.push(conn);
             }
         }
@@ -251,9 +268,12 @@
 
     /// A kept connection, the last used first, or a new one.
     async fn connection(&self, worker: WorkerId, deadline: Instant) -> Result<Conn, Outcome> {
+        if !self.takes_work(worker) {
+            return Err(Outcome::NotSent);
+        }
         let addr = {
             let mut pools = self.pools.borrow_mut();
-            let pool = pools.get_mut(&worker).filter(|pool| pool.ready).ok_or(Outcome::NotSent)?;
+            let pool = pools.get_mut(&worker).ok_or(Outcome::NotSent)?;
             while let Some(conn) = pool.idle.pop() {
                 if conn.idle_since.elapsed() < self.keep_idle && conn.sender.is_ready() {
                     return Ok(conn);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -108,6 +108,8 @@
     uncounted: f64,
     workers: BTreeMap<WorkerId, Worker>,
     ready: Vec<WorkerId>,
+    /// Left out by hand.
+    left_out: BTreeSet<WorkerId>,
     requests: BTreeMap<RequestId, Open>,
     held: VecDeque<RequestId>,
     timers: BTreeMap<u64, RequestId>,
@@ -172,6 +174,11 @@
         }
         match event {
             Event::Workers(list) => self.on_workers(list, out),
+            Event::ByHand { worker, out: true } => {
+                self.left_out.insert(worker);
+                self.ready.retain(|id| *id != worker);
+            }
+            Event::ByHand { worker, out: false } => self.put_back(worker, out),
             Event::Request(request) => self.on_request(request, out),
             Event::Timer(TimerToken(0)) => self.on_tick(out),
             Event::Timer(TimerToken(n)) => {
@@ -504,6 +511,7 @@
         let record = |w: &Worker| Record {
             id: w.info.id,
             started: w.info.started,
+            returned: w.returned,
             slow: w.slow,
             samples: w.samples,
             at: w.at,
@@ -542,7 +550,7 @@
                 continue;
             };
             (w.slow, w.samples, w.at, w.health) = (r.slow, r.samples, r.at, r.health);
-            (w.credit, w.credit_at) = (r.credit, r.credit_at);
+            (w.credit, w.credit_at, w.returned) = (r.credit, r.credit_at, r.returned);
         }
     }
 
@@ -649,6 +657,7 @@
             return false;
         }
         if w.info.availability != Availability::Ready
+            || self.left_out.contains(&w.info.id)
             || (self.coldness(w, self.now) < 1.0 && (self.retired || self.credit(w) < 1.0))
         {
             return false;
@@ -876,8 +885,38 @@
             }
         }
         self.workers.retain(|_, w| w.info.availability != Availability::Gone || w.inflight > 0.0);
+        self.find_ready();
+        self.release_held(out);
+    }
+
+    /// Those that may get something new: listed so, and not left out by hand.
+    fn find_ready(&mut self) {
         let ready = self.workers.values().filter(|w| w.info.availability == Availability::Ready);
-        self.ready = ready.map(|w| w.info.id).collect();
+        self.ready = ready.map(|w| w.info.id).filter(|id| !self.left_out.contains(id)).collect();
+    }
+
+    /// A worker that was left out has been restarted meanwhile, whether or not the list tells of it yet.
+    fn put_back(&mut self, id: WorkerId, out: &mut Vec<Action>) {
+        if !self.left_out.remove(&id) {
+            return;
+        }
+        let health = vec![Health::default(); self.typical.len()];
+        let (credit, credit_at) = (self.rng.f64(), self.now);
+        if let Some(w) = self.workers.get_mut(&id) {
+            let (info, returned) = (std::mem::take(&mut w.info), Some(credit_at));
+            let inflight = w.inflight;
+            *w = Worker {
+                info,
+                returned,
+                inflight,
+                slow: 1.0,
+                health,
+                credit,
+                credit_at,
+                ..Worker::default()
+            };
+        }
+        self.find_ready();
         self.release_held(out);
     }
 
@@ -886,14 +925,16 @@
         let classes = self.set.classes.len();
         let avoided = |w: &&Worker| {
             let classes_avoided = w.health.iter().take(classes).filter(|h| now < h.avoid_until).count();
-            w.info.availability == Availability::Ready && classes_avoided >= classes.min(2)
+            let left_out = self.left_out.contains(&w.info.id) && w.info.availability != Availability::Gone;
+            left_out || (w.info.availability == Availability::Ready && classes_avoided >= classes.min(2))
         };
         self.workers.values().filter(avoided).count()
     }
 
     /// The share of its capacity that a worker has at the least.
     fn coldness(&self, w: &Worker, now: Micros) -> f64 {
-        let age = w.info.started.map_or(f64::MAX, |at| now.saturating_sub(at) as f64);
+        let started = w.info.started.max(w.returned);
+        let age = started.map_or(f64::MAX, |at| now.saturating_sub(at) as f64);
         let (from, warm) = (self.set.rules.cold_from, self.set.rules.cold_for.max(1) as f64);
         (from + (1.0 - from) * age / warm).min(1.0)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,6 +61,8 @@
 #[derive(Default)]
 pub struct Worker {
     pub info: WorkerInfo,
+    /// When it was last put back by hand.
+    pub returned: Option<Micros>,
     pub inflight: f64,
     pub slow: f64,
     /// Samples behind the above, and the time of the last.
@@ -106,6 +108,7 @@
 pub(crate) struct Record {
     pub id: WorkerId,
     pub started: Option<Micros>,
+    pub returned: Option<Micros>,
     pub slow: f64,
     pub samples: f64,
     pub at: Micros,
--- a/tests/five_rules.rs
+++ b/tests/five_rules.rs
@@ -299,3 +299,31 @@
         assert!(at_new > 0 && at_old + at_new <= whole, "{at_old} and {at_new}, of {whole}");
     }
 }
+
+#[test]
+fn a_worker_left_out_by_hand_counts_as_draining_and_comes_back_cold() {
+    let mut s = Stage::new(settings(), &[1, 2]);
+    let ask = |s: &mut Stage, worker: u64| {
+        let before = s.sends.len();
+        for n in 0..200 {
+            s.ask(&format!("c{}-{n}", s.now), 0, 0, 1.0);
+            if !s.out.is_empty() {
+                s.done(Outcome::Ok);
+            }
+        }
+        s.sends[before..].iter().filter(|(_, _, w)| *w == worker).count()
+    };
+    assert!(ask(&mut s, 1) > 20);
+    s.event(Event::ByHand { worker: WorkerId(1), out: true });
+    s.list(ListScope::Full, vec![worker(1), worker(2)]);
+    s.pass(S);
+    assert_eq!(ask(&mut s, 1), 0);
+    assert_eq!(s.keeper.workers_avoided(s.now), 1);
+    s.event(Event::ByHand { worker: WorkerId(1), out: false });
+    s.pass(S);
+    let first = ask(&mut s, 1);
+    assert!((1..=2).contains(&first), "{first} at once to a cold worker");
+    s.pass(20 * S);
+    assert!(ask(&mut s, 1) > 20, "warm again");
+    assert_eq!(s.keeper.workers_avoided(s.now), 0);
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -206,3 +206,36 @@
         assert_eq!(gateway.ask(&pull().text()).status(), 200, "{how}");
     }
 }
+
+#[test]
+fn a_server_left_out_gets_nothing_until_it_is_put_back_also_across_an_upgrade() {
+    let (w0, w1) = (Worker::start(ok("w0")), Worker::start(ok("w1")));
+    let discovery = Discovery::start();
+    let listed = [w0.listed("w0", "up"), w1.listed("w1", "up")];
+    discovery.list(2, true, &listed);
+    let old = Gateway::ready(&config_with_door(discovery.addr));
+    let asked = |gateway: &Gateway| (0..20).for_each(|_| drop(gateway.ask(&pull().text())));
+    asked(&old);
+    assert!(w0.requests() > 0);
+    assert!(old.call("exclude w9").starts_with("NO"), "never listed");
+    assert!(old.call("include w9").starts_with("NO"), "never listed");
+    for _ in 0..2 {
+        assert!(old.call("exclude w0").starts_with("YES"));
+    }
+    assert_eq!(figure(&old, "app_hosts_down"), 1);
+    discovery.list(3, true, &listed);
+    asked(&old);
+    let new = old.upgrade(&config_with_door(discovery.addr));
+    new.wait_for_yes();
+    asked(&new);
+    assert_eq!(w0.requests(), 0);
+    assert!(w1.requests() >= 40);
+    assert_eq!(figure(&new, "app_hosts_down"), 1);
+    assert!(new.call("include w0").starts_with("YES"));
+    let until = Instant::now() + PATIENCE;
+    while w0.requests() == 0 {
+        assert!(Instant::now() < until, "not used again");
+        asked(&new);
+    }
+    assert_eq!(figure(&new, "app_hosts_down"), 0);
+}
