--- a/src/api.rs
+++ b/src/api.rs
@@ -226,8 +226,10 @@
     pub units: f64,
     /// How many gateways this customer's requests come through.
     pub gateways: u32,
-    /// Time until the client gives this try up.
+    /// Time until the client gives this try up, counted from the request's last byte.
     pub time_left: Micros,
+    /// Whether its last byte has come; if not, [`Event::Whole`] will tell.
+    pub whole: bool,
 }
 
 /// How an attempt ended.
@@ -293,6 +295,10 @@
     },
     /// A request has come in.
     Request(Request),
+    /// The last byte of a request has come, and gone on to a worker: its time begins.
+    Whole(RequestId),
+    /// A request's body is no longer held, so that it can't be sent again.
+    Spent(RequestId),
     /// A timer fired.
     Timer(TimerToken),
     /// An attempt ended.
--- a/src/bin/hingestage-adapter/wire.rs
+++ b/src/bin/hingestage-adapter/wire.rs
@@ -58,6 +58,7 @@
                 gateways: f.number("width")?,
                 time_left: f.optional::<i64>("graceUs")?.ok_or_else(|| f.error("graceUs", "missing"))?.max(0)
                     as u64,
+                whole: true,
             })
         }
         "WAKE" => Event::Timer(TimerToken(f.int("nonce")?)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 //!         units: 1.0,
 //!         gateways: 2,
 //!         time_left: 2_000_000,
+//!         whole: true,
 //!     }),
 //!     &mut actions,
 //! );
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -25,6 +25,7 @@
 #[derive(Deserialize)]
 struct FileLimits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 impl File {
@@ -57,6 +58,8 @@
     pub clients_max: usize,
     /// See `clients_max`.
     pub workers_max: usize,
+    /// Bytes of bodies that may be held, for all requests together: a part of the limit on memory.
+    pub held_max: usize,
     /// A connection to a worker not established by then never is.
     pub connect_timeout: Duration,
     /// A worker closes a connection that has been idle for so long.
@@ -109,6 +112,10 @@
         if sockets < 2 * SPARE_SOCKETS {
             return Err(format!("configuration: field `limits.sockets`: {sockets} is too few"));
         }
+        let memory = file.limits.memory_mb;
+        if !(memory.is_finite() && memory > 0.0) {
+            return Err(format!("configuration: field `limits.memory_mb`: {memory} is no amount"));
+        }
         let share = sockets - SPARE_SOCKETS;
         Ok(Config {
             listen: address("listen", variable("RELAY_LISTEN").or(file.listen))?,
@@ -122,6 +129,7 @@
             worker_idle: span("limits.connIdleUs")?,
             settings,
             names,
+            held_max: (memory * f64::from(1 << 20) / 4.0) as usize,
             clients_max: share * 2 / 3,
             workers_max: share / 3,
         })
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,11 +1,14 @@
 //! Owns the decisions, their clock and the open requests: events in, actions out. Each request ends once.
 
+use crate::net::body::{Counted, Flow, Gathered, Room};
 use crate::net::config::Config;
 use crate::net::counter::Counter;
 use crate::net::telemetry::{End, Telemetry};
-use crate::net::workers::{Attempted, Parts, Progress, Served, Workers};
+use crate::net::workers::{Attempted, Parts, Progress, Workers};
 use crate::{Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Handover, Micros, Outcome, PlanId};
 use crate::{Request, RequestId, WorkerId};
+use bytes::Bytes;
+use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -35,10 +38,18 @@
     }
 }
 
+/// A worker's good answer, on to the client.
+pub enum Body {
+    /// All of it.
+    Whole(Bytes),
+    /// What comes.
+    Flow(Flow),
+}
+
 /// The one final answer to a request.
 pub enum Answer {
-    /// A worker's.
-    Served(Served),
+    /// A worker's, with its word on what the body is.
+    Served(Body, Option<HeaderValue>),
     /// Trying again is harmless, and best after so long.
     Refused(Micros),
     /// Nothing is promised; whether time ran out.
@@ -90,7 +101,9 @@
     /// The counter's side.
     pub counter: Counter,
     /// What has become of all requests.
-    pub telemetry: Telemetry,
+    pub telemetry: Rc<Telemetry>,
+    /// Room for bodies that are held.
+    pub room: Room,
     gatekeeper: RefCell<Gatekeeper>,
     clock: Clock,
     open: RefCell<HashMap<RequestId, Open>>,
@@ -104,11 +117,13 @@
     pub fn new(config: &Config) -> Rc<Driver> {
         let clock = Clock::new();
         let settings = config.settings.clone();
-        let telemetry = Telemetry::new(&config.names.classes);
+        let telemetry = Rc::new(Telemetry::new(&config.names.classes));
+        let room = Room::new(config.held_max);
         let (connect, idle) = (config.connect_timeout, config.worker_idle);
         Rc::new(Driver {
-            workers: Workers::new(config.workers_max, connect, idle, telemetry.calls()),
+            workers: Workers::new(config.workers_max, (connect, idle), telemetry.calls(), room.clone()),
             telemetry,
+            room,
             counter: Counter::new(config.counter, settings.counter_timeout),
             gatekeeper: RefCell::new(Gatekeeper::new(settings, config.seed, clock.now())),
             clock,
@@ -164,6 +179,15 @@
         let id = RequestId(self.next.get().to_string());
         let (reply, answer) = oneshot::channel();
         let (parts, class) = (Rc::new(taken.parts), taken.class.0);
+        if let Some(upload) = parts.upload() {
+            let (driver, id) = (self.clone(), id.clone());
+            upload.on_end(move || {
+                let calls = driver.telemetry.calls();
+                calls.set(calls.get() + 1);
+                driver.feed(Event::Whole(id));
+            });
+        }
+        let whole = parts.upload().is_none();
         let open = Open { parts, reply: Some(reply), attempts: Vec::new(), class, late: false };
         self.open.borrow_mut().insert(id.clone(), open);
         self.telemetry.taken();
@@ -176,6 +200,7 @@
             units: taken.units,
             gateways: taken.gateways,
             time_left: left.as_micros() as Micros,
+            whole,
         }));
         (Ticket { driver: self.clone(), id }, answer)
     }
@@ -188,22 +213,31 @@
         let sent = Instant::now();
         let (driver, told, request) = (self.clone(), progress.clone(), id.clone());
         let task = tokio::task::spawn_local(async move {
-            let deadline = sent + Duration::from_micros(timeout);
-            let mut attempted = driver.workers.attempt(worker, &parts, deadline, &told).await;
-            driver.attempt_done(&request, n, &mut attempted);
+            let time = Duration::from_micros(timeout);
+            let mut attempted = driver.workers.attempt(worker, &parts, time, &told).await;
+            driver.attempt_done(&request, n, worker, &mut attempted);
             driver.workers.give_back(worker, attempted).await;
         });
         open.attempts.push(Some(Running { worker, progress, task: task.abort_handle(), sent }));
     }
 
-    fn attempt_done(self: &Rc<Self>, id: &RequestId, n: usize, attempted: &mut Attempted) {
+    fn attempt_done(self: &Rc<Self>, id: &RequestId, n: usize, worker: WorkerId, attempted: &mut Attempted) {
         let ended = self.open.borrow_mut().get_mut(id).and_then(|open| {
             open.late |= attempted.outcome == Outcome::Timeout;
             open.attempts.get_mut(n).and_then(Option::take)
         });
         let Some(running) = ended else { return };
         if let Some(served) = attempted.served.take() {
-            self.answer(id, |_| Answer::Served(served));
+            let body = match served.body {
+                Gathered::Whole(body) => Body::Whole(body),
+                Gathered::Begun(parts, rest, length) => {
+                    let (driver, back) = (self.clone(), attempted.connection());
+                    Body::Flow(Flow::new((parts, rest, length), move || {
+                        tokio::task::spawn_local(async move { driver.workers.give_back(worker, back).await });
+                    }))
+                }
+            };
+            self.answer(id, |_| Answer::Served(body, served.content_type));
         }
         self.tell_end(id, n, attempted.outcome, running.sent, attempted.true_units);
     }
@@ -249,6 +283,9 @@
         true_units: Option<f64>,
     ) {
         let closed = self.open.borrow().get(id).is_none_or(|open| open.reply.is_none());
+        if self.open.borrow().get(id).is_some_and(|open| open.parts.is_spent()) {
+            self.feed(Event::Spent(id.clone()));
+        }
         self.forget_if_over(id);
         let latency = sent.elapsed().as_micros() as Micros;
         let request = id.clone();
@@ -259,14 +296,21 @@
     fn answer(&self, id: &RequestId, answer: impl FnOnce(&Open) -> Answer) {
         if let Some(open) = self.open.borrow_mut().get_mut(id) {
             if let Some(reply) = open.reply.take() {
-                let answer = answer(open);
-                let end = match answer {
-                    Answer::Served(_) => End::Served,
-                    Answer::Refused(_) => End::Refused,
-                    Answer::Failed { late: true } => End::Late,
-                    Answer::Failed { late: false } => End::Failed,
+                let mut answer = answer(open);
+                let end = match &mut answer {
+                    Answer::Served(Body::Flow(flow), _) => {
+                        // It ends with its last byte.
+                        flow.count(Counted::new(self.telemetry.clone(), open.class));
+                        None
+                    }
+                    Answer::Served(Body::Whole(_), _) => Some(End::Served),
+                    Answer::Refused(_) => Some(End::Refused),
+                    Answer::Failed { late: true } => Some(End::Late),
+                    Answer::Failed { late: false } => Some(End::Failed),
                 };
-                self.telemetry.ended(open.class, end);
+                if let Some(end) = end {
+                    self.telemetry.ended(open.class, end);
+                }
                 // A client that has just left needs none.
                 let _ = reply.send(answer);
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway on real sockets: carries events to the one [`crate::Gatekeeper`] and its actions out.
 
 pub mod admin;
+pub mod body;
 pub mod by_hand;
 pub mod config;
 pub mod counter;
@@ -14,8 +15,8 @@
 
 use tokio::time::Duration;
 
-/// The longest body, of a request or an answer, in bytes.
-pub const BODY_MAX: usize = 64 * 1024;
+/// The longest body of a request, in bytes: longer than anything that is sent in a client's time.
+pub const BODY_MAX: u64 = 1 << 30;
 
 /// Pause where the system has no descriptor left for a new connection.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,13 +1,13 @@
 //! The clients' side: connections and their number, requests read and checked, answers written.
 
+use crate::net::body::{self, Broken, Reply};
 use crate::net::config::Config;
-use crate::net::driver::{Answer, Driver, Taken};
+use crate::net::driver::{self, Answer, Driver, Taken};
 use crate::net::workers::Parts;
 use crate::net::{decimal, note, ACCEPT_PAUSE, BODY_MAX};
 use crate::settings::Names;
 use crate::{ClassId, CustomerId, Effect, PlanId};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, COOKIE, RETRY_AFTER};
 use hyper::service::service_fn;
@@ -29,8 +29,6 @@
 const NEW_TIME: Duration = Duration::from_millis(500);
 /// How long a client may take over a further request's head, or be silent between two requests.
 const HEAD_TIME: Duration = Duration::from_secs(60);
-/// How long a client may take over a body.
-const BODY_TIME: Duration = Duration::from_secs(2);
 /// The largest head of a request, bytes.
 const HEAD_MAX: usize = 16 * 1024;
 /// How long new connections are taken in after the call to stop.
@@ -328,15 +326,17 @@
             let (server, client) = (self.clone(), client.clone());
             client.busy.set(true);
             async move {
-                let mut answer = server.answer(request, &client.taken).await;
+                let mut answer = server.answer(request, &client).await;
                 if server.mode.get() != Mode::Serving || server.retired.get() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                client.busy.set(false);
-                client.served.set(true);
-                client.idle_since.set(server.turn());
-                // At the limit `accept` may have found none that idles: now there is one.
-                server.left.notify_one();
+                answer.body_mut().on_done(move || {
+                    client.busy.set(false);
+                    client.served.set(true);
+                    client.idle_since.set(server.turn());
+                    // At the limit `accept` may have found none that idles: now there is one.
+                    server.left.notify_one();
+                });
                 Ok::<_, Infallible>(answer)
             }
         });
@@ -364,12 +364,12 @@
         }
     }
 
-    async fn answer(self: &Rc<Self>, request: Request<Incoming>, read: &Cell<bool>) -> Response<Full<Bytes>> {
+    async fn answer(self: &Rc<Self>, request: Request<Incoming>, client: &Client) -> Response<Reply> {
         if request.uri().path() == "/up" && request.method() == Method::GET {
-            read.set(true);
+            client.taken.set(true);
             return plain(if self.is_up() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
-        let taken = match self.read(request).await {
+        let taken = match self.read(request, client).await {
             Ok(taken) => taken,
             Err((status, what)) => {
                 let mut answer = plain(status, what);
@@ -378,19 +378,24 @@
                 return answer;
             }
         };
-        read.set(true);
+        let upload = taken.parts.upload().cloned();
         // The ticket ends with this call: dropped early it says that the client has left.
         let (_ticket, answer) = self.driver.take(taken);
-        match answer.await {
+        let answer = match answer.await {
             Ok(answer) => respond(answer),
             Err(_) => plain(StatusCode::BAD_GATEWAY, "no answer"),
+        };
+        if let Some(upload) = upload.filter(|upload| upload.ended().is_none()) {
+            // A client that still sends would not read its answer from a connection that is reset.
+            tokio::task::spawn_local(async move { upload.drain().await });
         }
+        answer
     }
 
-    /// Reads a request whole. Nothing that is malformed goes any further.
-    async fn read(&self, request: Request<Incoming>) -> Result<Taken, Bad> {
+    /// Reads a request, and its body as far as that is held. Nothing that is malformed goes any further.
+    async fn read(&self, request: Request<Incoming>, client: &Client) -> Result<Taken, Bad> {
         let (head, body) = request.into_parts();
-        if body.size_hint().lower() > BODY_MAX as u64 {
+        if body.size_hint().lower() > BODY_MAX {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
         }
         let class_name = header(&head.headers, "request-class")?;
@@ -416,8 +421,18 @@
             header(&head.headers, "idempotency-key")?;
         }
         let uri = head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
-        let body = if body.is_end_stream() { Bytes::new() } else { read_body(body).await? };
-        if safe && !body.is_empty() {
+        let body = if body.is_end_stream() {
+            body::Request::empty(&self.driver.room)
+        } else {
+            // From here on the body's own time counts; on a new connection it began with that.
+            let since = if client.taken.replace(true) { Instant::now() } else { client.since };
+            body::Request::begin(body, &self.driver.room, since).await.map_err(|broken| match broken {
+                Broken::Stalled => (StatusCode::REQUEST_TIMEOUT, "the body takes too long"),
+                Broken::Connection | Broken::TooLong => bad("bad framing"),
+            })?
+        };
+        client.taken.set(true);
+        if safe && !(body.held.is_empty() && body.rest.is_none()) {
             return Err(bad("a body where none belongs"));
         }
         Ok(Taken {
@@ -426,7 +441,7 @@
             plan: PlanId(plan),
             units,
             gateways,
-            // The request's last byte has just been read.
+            // Counted from the request's last byte.
             until: Instant::now() + patience.min(self.patience_max),
             parts: Parts {
                 method: head.method,
@@ -446,15 +461,6 @@
     (StatusCode::BAD_REQUEST, what)
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, Bad> {
-    let read = tokio::time::timeout(BODY_TIME, Limited::new(body, BODY_MAX).collect()).await;
-    match read.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body takes too long"))? {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err((StatusCode::PAYLOAD_TOO_LARGE, "body too large")),
-        Err(_) => Err(bad("bad framing")),
-    }
-}
-
 /// A header that must be there once, as text.
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, Bad> {
     let mut values = headers.get_all(name).iter();
@@ -496,17 +502,20 @@
     units.zip(spread).ok_or(bad("bad X-Call-Terms"))
 }
 
-fn plain(status: StatusCode, what: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(what.as_bytes())));
+fn plain(status: StatusCode, what: &'static str) -> Response<Reply> {
+    let mut response = Response::new(Reply::whole(Bytes::from_static(what.as_bytes())));
     *response.status_mut() = status;
     response
 }
 
-fn respond(answer: Answer) -> Response<Full<Bytes>> {
+fn respond(answer: Answer) -> Response<Reply> {
     match answer {
-        Answer::Served(served) => {
-            let mut response = Response::new(Full::new(served.body));
-            if let Some(value) = served.content_type {
+        Answer::Served(body, content_type) => {
+            let mut response = Response::new(match body {
+                driver::Body::Whole(body) => Reply::whole(body),
+                driver::Body::Flow(flow) => Reply::flow(flow),
+            });
+            if let Some(value) = content_type {
                 response.headers_mut().insert(CONTENT_TYPE, value);
             }
             response
--- a/src/net/workers.rs
+++ b/src/net/workers.rs
@@ -1,13 +1,12 @@
 //! The workers' side: pooled connections, attempts, and what an attempt's end proves.
 
+use crate::net::body::{self, gather, Broken, Gathered, Outgoing, Room, Upload, FLOW_STALL};
 use crate::net::wire::{Place, Wire, WireIo};
-use crate::net::{decimal, note, BODY_MAX};
+use crate::net::{decimal, note};
 use crate::{Outcome, WorkerId};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -15,12 +14,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::time::{timeout, timeout_at, Duration, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Duration, Instant};
 
 /// The name under which workers serve.
 const SERVICE: &str = "backend.local";
 /// Idle connections kept to one worker.
 const IDLE_MAX: usize = 32;
+/// How often the time of an attempt whose body still comes is looked at.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// The largest buffer of a connection, bytes.
+const BUFFER_MAX: usize = 16 * 1024;
 /// How long a connection may take to be ready again once its answer has been read.
 const SETTLE: Duration = Duration::from_millis(250);
 
@@ -37,13 +40,25 @@
     /// The client's word on what the body is.
     pub content_type: Option<HeaderValue>,
     /// The body.
-    pub body: Bytes,
+    pub body: body::Request,
 }
 
-/// A worker's whole good answer.
+impl Parts {
+    /// The part of the body that is still at the client.
+    pub fn upload(&self) -> Option<&Rc<Upload>> {
+        self.body.rest.as_ref()
+    }
+
+    /// Whether some of it can't be sent again.
+    pub fn is_spent(&self) -> bool {
+        self.upload().is_some_and(|upload| upload.is_spent())
+    }
+}
+
+/// A worker's good answer.
 pub struct Served {
     /// The body, unchanged.
-    pub body: Bytes,
+    pub body: Gathered,
     /// What it is.
     pub content_type: Option<HeaderValue>,
 }
@@ -60,6 +75,13 @@
     conn: Option<Conn>,
 }
 
+impl Attempted {
+    /// What is left to give back once the answer's body has come.
+    pub fn connection(&mut self) -> Attempted {
+        Attempted { conn: self.conn.take(), ..Attempted::from(self.outcome) }
+    }
+}
+
 impl From<Outcome> for Attempted {
     fn from(outcome: Outcome) -> Self {
         Attempted { outcome, true_units: None, served: None, conn: None }
@@ -69,7 +91,15 @@
 /// How far an attempt has come, for those who may call it off.
 #[derive(Default)]
 pub struct Progress {
-    wire: RefCell<Option<(Rc<Wire>, u64)>>,
+    wire: RefCell<Option<(Rc<Wire>, Sent)>>,
+}
+
+/// What tells whether a request has been written whole.
+enum Sent {
+    /// So many bytes have been written on its connection.
+    Least(u64),
+    /// The client's last byte has been passed on.
+    Upload(Rc<Upload>),
 }
 
 impl Progress {
@@ -82,24 +112,33 @@
     pub fn give_up(&self) -> bool {
         match self.wire.borrow_mut().take() {
             None => false,
-            Some((wire, least)) => {
+            Some((wire, sent)) => {
                 wire.close();
-                wire.written() >= least
+                match sent {
+                    Sent::Least(least) => wire.written() >= least,
+                    Sent::Upload(upload) => upload.ended().is_some(),
+                }
             }
         }
     }
 
-    /// From here on the request may be written. Below `least` bytes written it can't be whole.
+    /// From here on the request may be written.
     fn begin(&self, wire: &Rc<Wire>, parts: &Parts) {
-        let least = wire.written() + 1 + parts.body.len() as u64;
-        wire.expect(least);
-        *self.wire.borrow_mut() = Some((wire.clone(), least));
+        let sent = match parts.upload() {
+            Some(upload) => Sent::Upload(upload.clone()),
+            None => {
+                let least = wire.written() + 1 + parts.body.held.len() as u64;
+                wire.expect(least);
+                Sent::Least(least)
+            }
+        };
+        *self.wire.borrow_mut() = Some((wire.clone(), sent));
     }
 }
 
 /// A connection between two requests.
 struct Conn {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     wire: Rc<Wire>,
     idle_since: Instant,
     used: bool,
@@ -128,17 +167,23 @@
     connect_timeout: Duration,
     keep_idle: Duration,
     calls: Rc<Cell<u64>>,
+    room: Room,
     odd: Cell<u64>,
 }
 
 impl Workers {
     /// None known yet. Connections are retired at half the time after which workers close them: a request
     /// that crosses the closing would be a reset, which may have run. `calls` counts requests written whole.
-    pub fn new(most: usize, connect_timeout: Duration, worker_idle: Duration, calls: Rc<Cell<u64>>) -> Self {
+    pub fn new(
+        most: usize,
+        (connect_timeout, worker_idle): (Duration, Duration),
+        calls: Rc<Cell<u64>>,
+        room: Room,
+    ) -> Self {
         let (pools, open, keep_idle) = (RefCell::default(), Rc::default(), worker_idle / 2);
         let most = Cell::new(most);
         let left_out = RefCell::default();
-        Workers { pools, left_out, open, most, connect_timeout, keep_idle, calls, odd: Cell::new(0) }
+        Workers { pools, left_out, open, most, connect_timeout, keep_idle, calls, room, odd: Cell::new(0) }
     }
 
     /// Notes where a worker is, when it started and whether it takes work. Idle connections to one that does
@@ -210,15 +255,19 @@
         }
     }
 
-    /// Sends a request once and waits for its whole answer.
+    /// Sends a request once and waits for its answer: the whole of a short one, the beginning of a long one.
     pub async fn attempt(
         &self,
         worker: WorkerId,
         parts: &Parts,
-        deadline: Instant,
+        time: Duration,
         progress: &Progress,
     ) -> Attempted {
+        let deadline = Instant::now() + time;
         loop {
+            if parts.is_spent() {
+                return Outcome::NotSent.into();
+            }
             let mut conn = match self.connection(worker, deadline).await {
                 Ok(conn) => conn,
                 Err(outcome) => return outcome.into(),
@@ -228,23 +277,25 @@
                 return Outcome::NotSent.into();
             }
             progress.begin(&conn.wire, parts);
-            let exchange = exchange(&mut conn.sender, parts, deadline);
-            let ended = timeout_at(deadline, exchange).await;
-            if let Ok(Ok(answer)) = ended {
+            let ended = tokio::select! {
+                ended = exchange(&mut conn.sender, parts, deadline, &self.room) => Some(ended),
+                () = over(parts, deadline, time) => None,
+            };
+            if let Some(Ok(answer)) = ended {
                 return self.judge(answer, conn);
             }
             let (used, whole) = (conn.used, progress.give_up());
             drop(conn);
             match ended {
                 // A kept connection turned out to be closed before anything was written: that was no attempt.
-                Ok(Err(_)) if used && !whole => continue,
+                Some(Err(_)) if used && !whole && !parts.is_spent() => continue,
                 _ if !whole => return Outcome::ConnectFailed.into(),
-                Ok(Err(Broken::TooLarge)) => {
+                Some(Err(Broken::TooLong)) => {
                     note(&self.odd, format_args!("worker {}: answer too large", worker.0));
                     return Outcome::Error.into();
                 }
-                Ok(_) => return Outcome::Reset.into(),
-                Err(_) => return Outcome::Timeout.into(),
+                Some(_) => return Outcome::Reset.into(),
+                None => return Outcome::Timeout.into(),
             }
         }
     }
@@ -293,7 +344,11 @@
         let _ = stream.set_nodelay(true);
         let wire = Wire::counting(stream, place, self.calls.clone());
         let io = TokioIo::new(WireIo(wire.clone()));
-        let (sender, driver) = http1::handshake(io).await.map_err(|_| Outcome::ConnectFailed)?;
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(BUFFER_MAX)
+            .handshake(io)
+            .await
+            .map_err(|_| Outcome::ConnectFailed)?;
         let task = tokio::task::spawn_local(async move {
             // How it ends is told to the attempt that it carries.
             let _ = driver.await;
@@ -314,10 +369,8 @@
     /// What a whole answer says.
     fn judge(&self, (status, headers, body): Answer, conn: Conn) -> Attempted {
         let not_started = headers.get("not-started").is_some_and(|value| value == "1");
-        // Where only the connection's end closes the body, a part can't be told from the whole.
-        let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
         let outcome = match status {
-            StatusCode::OK if framed => Outcome::Ok,
+            StatusCode::OK => Outcome::Ok,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_started => Outcome::Full,
             // Without the word that it never began, it may have run.
             _ => Outcome::Error,
@@ -329,19 +382,29 @@
     }
 }
 
-type Answer = (StatusCode, HeaderMap, Bytes);
+type Answer = (StatusCode, HeaderMap, Gathered);
 
-enum Broken {
-    Connection,
-    TooLarge,
+/// Returns when an attempt has had its time, which begins with the request's last byte; before that, when
+/// nothing of it has moved for long.
+async fn over(parts: &Parts, deadline: Instant, time: Duration) {
+    let Some(upload) = parts.upload() else { return sleep_until(deadline).await };
+    loop {
+        let until = upload.ended().map_or(upload.moved().max(deadline - time) + FLOW_STALL, |at| at + time);
+        if Instant::now() >= until {
+            return;
+        }
+        // It may end meanwhile, with less time left.
+        sleep_until(until.min(Instant::now() + LOOK_AGAIN)).await;
+    }
 }
 
 async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>,
+    sender: &mut SendRequest<Outgoing>,
     parts: &Parts,
     deadline: Instant,
+    room: &Room,
 ) -> Result<Answer, Broken> {
-    let mut request = Request::new(Full::new(parts.body.clone()));
+    let mut request = Request::new(Outgoing::new(&parts.body));
     *request.method_mut() = parts.method.clone();
     *request.uri_mut() = parts.uri.clone();
     let headers = request.headers_mut();
@@ -359,9 +422,6 @@
     }
     let answer: Response<Incoming> = sender.send_request(request).await.map_err(|_| Broken::Connection)?;
     let (head, body) = answer.into_parts();
-    match Limited::new(body, BODY_MAX).collect().await {
-        Ok(body) => Ok((head.status, head.headers, body.to_bytes())),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(Broken::TooLarge),
-        Err(_) => Err(Broken::Connection),
-    }
+    let body = gather(body, room, head.status == StatusCode::OK).await?;
+    Ok((head.status, head.headers, body))
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -181,9 +181,17 @@
             Event::ByHand { worker, out: false } => self.put_back(worker, out),
             Event::Request(request) => self.on_request(request, out),
             Event::Timer(TimerToken(0)) => self.on_tick(out),
+            Event::Whole(id) => self.on_whole(&id, out),
+            Event::Spent(id) => {
+                self.requests.entry(id).and_modify(|r| r.spent = true);
+            }
             Event::Timer(TimerToken(n)) => {
                 let id = self.timers.remove(&n).unwrap_or_default();
-                self.finish(&id, Ending::Failed, out);
+                // While its body comes, and in the time after that, another timer will end it.
+                let early = |r: &Open| r.uploading || self.now + self.margin() < r.deadline;
+                if !self.requests.get(&id).is_some_and(early) {
+                    self.finish(&id, Ending::Failed, out);
+                }
             }
             Event::AttemptDone(done) => self.on_done(done, out),
             Event::StreamStarted { request } => {
@@ -574,7 +582,7 @@
         let unknown = Class { aim: r.time_left / 2, deadline: r.time_left, ..Class::default() };
         let known = r.class.and_then(|c| self.set.classes.get(c.0).map(|class| (c.0, class.clone())));
         let (class_ix, class) = known.unwrap_or((self.set.classes.len(), unknown));
-        let margin = 2 * self.set.resolution.max(1);
+        let margin = self.margin();
         let plan = r.plan.filter(|p| p.0 < self.set.plans.len());
         let (Some(plan), true) = (plan, r.time_left > margin) else {
             // A plan nobody described allows nothing; no time left allows nothing either.
@@ -590,11 +598,10 @@
         let key = self.enter(plan.0, r.customer, r.gateways);
         let (arrived, deadline) = (self.now, self.now + r.time_left);
         let id = r.id.clone();
-        let open = Open { key: key.clone(), class, class_ix, units, arrived, deadline, ..Open::default() };
-        self.requests.insert(r.id.clone(), open);
-        self.timers.insert(self.next_timer, r.id.clone());
-        out.push(Action::SetTimer { token: TimerToken(self.next_timer), after: r.time_left - margin });
-        self.next_timer += 1;
+        let (key_of, patience, uploading) = (key.clone(), r.time_left, !r.whole);
+        let open = Open { key: key_of, class, class_ix, units, arrived, ..Open::default() };
+        self.requests.insert(r.id.clone(), Open { patience, deadline, uploading, ..open });
+        self.set_deadline(&r.id, patience, out);
         // A close decision waits for a fresh total, unless no call may go out now. Its units go along: one
         // call counts and asks; they are given back with a later call if it is turned away.
         if self.unsure(&key, units) {
@@ -612,6 +619,28 @@
         self.admit(&id, out);
     }
 
+    /// Answers are given this much before a client's time is over.
+    fn margin(&self) -> Micros {
+        2 * self.set.resolution.max(1)
+    }
+
+    fn set_deadline(&mut self, id: &RequestId, left: Micros, out: &mut Vec<Action>) {
+        self.timers.insert(self.next_timer, id.clone());
+        let after = left.saturating_sub(self.margin());
+        out.push(Action::SetTimer { token: TimerToken(self.next_timer), after });
+        self.next_timer += 1;
+    }
+
+    /// A request's time, and that of its attempts, begins with its last byte.
+    fn on_whole(&mut self, id: &RequestId, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(r) = self.requests.get_mut(id).filter(|r| r.uploading) else { return };
+        (r.uploading, r.arrived, r.deadline) = (false, now, now + r.patience);
+        r.attempts.iter_mut().filter(|a| a.out).for_each(|a| a.sent = now);
+        let patience = r.patience;
+        self.set_deadline(id, patience, out);
+    }
+
     /// Whether a try comes when its request's aim is as good as over. Clients wait a usual time for each try
     /// but the last, for which they wait until they give up for good: that tells when the first one was.
     fn comes_late(&mut self, class_ix: usize, class: &Class, patience: Micros) -> bool {
@@ -653,7 +682,9 @@
     /// Every guard that a send must pass: the request's end, its effect, drains, cold workers, ceilings.
     fn may_send(&self, r: &Open, w: &Worker) -> bool {
         let tries_left = r.attempts.len() < self.set.limits.max_attempts;
-        if r.closed || r.streaming || self.now >= r.deadline || !tries_left {
+        let again = !r.attempts.is_empty();
+        let over = self.now >= r.deadline && !r.uploading;
+        if r.closed || r.streaming || over || !tries_left || (again && r.spent) {
             return false;
         }
         if w.info.availability != Availability::Ready
@@ -710,8 +741,9 @@
         r.held = false;
         let (zone, cell, sent) = (w.info.zone.clone(), w.info.cell, self.now);
         let (out_now, suspected, may_have_run) = (true, false, true);
+        let timeout = if r.uploading { r.patience } else { r.deadline - self.now };
         r.attempts.push(Attempt { worker, zone, cell, sent, out: out_now, suspected, may_have_run });
-        out.push(Action::Send { request: id.clone(), worker, timeout: r.deadline - self.now });
+        out.push(Action::Send { request: id.clone(), worker, timeout });
         true
     }
 
@@ -774,7 +806,7 @@
     fn try_again(&mut self, id: &RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(id) else { return };
         let ran = r.attempts.iter().any(|a| a.may_have_run);
-        let barred = r.streaming || (ran && r.class.effect == Effect::AtMostOnce);
+        let barred = r.streaming || r.spent || (ran && r.class.effect == Effect::AtMostOnce);
         let room = r.attempts.len() < self.set.limits.max_attempts && self.now < r.arrived + r.class.aim;
         if !barred && room && self.retries >= 1.0 {
             self.retries -= 1.0;
@@ -827,8 +859,12 @@
     /// Second copies for requests whose attempt is lost or takes too much of the aim; where copies are not
     /// allowed, the lost attempt is called off first.
     fn watch_requests(&mut self, out: &mut Vec<Action>) {
-        let ids: Vec<RequestId> =
-            self.requests.iter().filter(|(_, r)| !r.closed).map(|(id, _)| id.clone()).collect();
+        let ids: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, r)| !(r.closed || r.uploading))
+            .map(|(id, _)| id.clone())
+            .collect();
         for id in ids {
             let Some(r) = self.requests.get_mut(&id) else { continue };
             let class_ix = r.class_ix;
@@ -842,7 +878,7 @@
             let first = lost && !a.suspected;
             a.suspected |= lost;
             let worker = a.worker;
-            let barred = r.streaming || r.class.effect == Effect::AtMostOnce;
+            let barred = r.streaming || r.spent || r.class.effect == Effect::AtMostOnce;
             let late = self.now > r.arrived + r.class.aim;
             let overdue = age > HEDGE_SHARE * r.class.aim as f64;
             if first {
--- a/src/state.rs
+++ b/src/state.rs
@@ -135,7 +135,13 @@
     pub class_ix: usize,
     pub units: f64,
     pub arrived: Micros,
+    /// Time left when its last byte had come.
+    pub patience: Micros,
     pub deadline: Micros,
+    /// Its last byte has not come yet.
+    pub uploading: bool,
+    /// It can't be sent again.
+    pub spent: bool,
     pub attempts: Vec<Attempt>,
     pub charged: bool,
     /// Let in beyond the quota, of which it takes nothing.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -154,6 +154,7 @@
             units,
             gateways: 2,
             time_left,
+            whole: true,
         }));
         id
     }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -449,6 +449,13 @@
         self.signal("-HUP");
     }
 
+    /// The most memory that the process has used, in bytes.
+    pub fn most_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<usize>().unwrap() * 1024
+    }
+
     fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
@@ -488,6 +495,11 @@
         let _ = self.stream.write_all(request.as_bytes());
     }
 
+    /// The connection itself, for what is no plain exchange.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
     /// The next answer, or none where the connection ends first.
     pub fn answer(&mut self) -> Option<Message> {
         Message::read(&mut self.reader)
