Send cold servers what warm ones of their size are seen to carry, not one core's part

Ruled out: clients' connections closed by the gatekeeper (clients close them), refusals by quota (most were for want of room), a learned unloaded latency that is too low (learning it anew under a limit of 1.2, 2 or 2.5 changed nothing: 0.41, 0.35).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,6 +83,11 @@
 const CROSS_ZONE: f64 = 1.1;
 /// Part of what a one-core worker could be sent without falling over that a cold one is sent.
 const COLD_PART: f64 = 1.0;
+/// Part of what warm workers are seen to carry that a cold one is sent, beside the above; the weights with
+/// which that is learned upwards and downwards, once a second; the part of the fleet that must be warm.
+const CARRIED: (f64, f64, f64, f64) = (0.6, 0.1, 0.02, 0.5);
+/// Sends to a warm worker in a second that tell anything of its size: a small part of its load does not.
+const TELLING: f64 = 2.0;
 /// Random draws of a worker before all are looked through.
 const DRAWS: usize = 8;
 /// Customers that a successor is told of, at most.
@@ -108,6 +113,9 @@
     uncounted: f64,
     workers: BTreeMap<WorkerId, Worker>,
     ready: Vec<WorkerId>,
+    /// Sends to warm workers in this second, and how many requests of ours one of them carries at once.
+    sent_warm: f64,
+    carried: f64,
     /// Left out by hand.
     left_out: BTreeSet<WorkerId>,
     requests: BTreeMap<RequestId, Open>,
@@ -227,8 +235,9 @@
             }
         }
         if self.now > self.aged + 100 * TICK {
+            let span = self.now - self.aged;
             self.aged = self.now;
-            self.age_out();
+            self.age_out(span);
         }
     }
 
@@ -477,7 +486,8 @@
 
     /// Forgets customers that are idle, out of the box and whose ceiling share is full again, and units that
     /// no call could carry within their window.
-    fn age_out(&mut self) {
+    fn age_out(&mut self, span: Micros) {
+        self.learn_carried(span);
         let (now, windows) =
             (self.now, (0..self.set.plans.len()).map(|i| self.window(i)).collect::<Vec<f64>>());
         (self.counted, self.uncounted) = (self.counted * 0.9, self.uncounted * 0.9);
@@ -538,6 +548,7 @@
             pressure: (self.pressure, self.unpressed, self.limit),
             answers: self.answers,
             call_gap: (self.call_gap, self.call_gap_good),
+            carried: self.carried,
         }
     }
 
@@ -549,7 +560,8 @@
         self.now = self.now.max(told.now);
         (self.started, self.typical, self.usual) = (told.started, told.typical, told.usual);
         (self.pressure, self.unpressed, self.limit) = told.pressure;
-        (self.answers, (self.call_gap, self.call_gap_good)) = (told.answers, told.call_gap);
+        (self.answers, self.carried) = (told.answers, told.carried);
+        (self.call_gap, self.call_gap_good) = told.call_gap;
         let plans = self.set.plans.len();
         self.customers.extend(told.customers.into_iter().filter(|(key, _)| key.0 < plans).take(TABLE_MAX));
         let classes = self.typical.len();
@@ -726,7 +738,10 @@
         }
         self.advance(&key);
         let Some(worker) = self.pick(id) else { return false };
-        let credit = self.workers.get(&worker).map_or(0.0, |w| self.credit(w));
+        let (credit, warm) = match self.workers.get(&worker) {
+            Some(w) => (self.credit(w), self.coldness(w, self.now) >= 1.0),
+            None => return false,
+        };
         let (Some(r), Some(w)) = (self.requests.get_mut(id), self.workers.get_mut(&worker)) else {
             return false;
         };
@@ -738,6 +753,7 @@
         (self.sent_at, self.out) = (self.now, self.out + 1.0);
         w.inflight += 1.0;
         (w.credit, w.credit_at) = (credit - 1.0, self.now);
+        self.sent_warm += f64::from(warm);
         r.held = false;
         let (zone, cell, sent) = (w.info.zone.clone(), w.info.cell, self.now);
         let (out_now, suspected, may_have_run) = (true, false, true);
@@ -976,15 +992,34 @@
     }
 
     /// Sends that a cold worker may have had from us and did not: at a rate that all gateways together may
-    /// send even if it has one core and the least capacity of its age, whatever the traffic or the fleet.
+    /// send even if it has one core and the least capacity of its age, or to one of the size that is seen to
+    /// carry more when warm.
     fn credit(&self, w: &Worker) -> f64 {
-        let typical = self.typical.iter().sum::<f64>() / self.typical.len() as f64 / 1e6;
-        let rate = COLD_PART * self.set.rules.fall_multiple / typical / self.instances();
+        let at_once = (COLD_PART / self.instances()).max(CARRIED.0 * self.carried);
+        let rate = at_once * self.set.rules.fall_multiple / (self.mean_latency() / 1e6);
         let span = self.now.saturating_sub(w.credit_at);
         let mean = self.coldness(w, self.now - span / 2);
         (w.credit + rate * mean * secs(span)).min(1.0)
     }
 
+    /// What latency says of all classes together, µs.
+    fn mean_latency(&self) -> f64 {
+        self.typical.iter().sum::<f64>() / self.typical.len() as f64
+    }
+
+    /// What a warm worker carries tells what its size can do, as far as most of the fleet is warm.
+    fn learn_carried(&mut self, span: Micros) {
+        let ready = self.ready.iter().filter_map(|id| self.workers.get(id));
+        let warm = ready.filter(|w| self.coldness(w, self.now) >= 1.0).count() as f64;
+        let sent = std::mem::take(&mut self.sent_warm);
+        let telling = sent >= TELLING * warm * span as f64 / 1e6 || self.carried > 0.0;
+        if warm >= (CARRIED.3 * self.ready.len() as f64).max(1.0) && telling {
+            let carries = sent / warm / span as f64 * self.mean_latency();
+            self.carried +=
+                (carries - self.carried) * if carries > self.carried { CARRIED.1 } else { CARRIED.2 };
+        }
+    }
+
     /// Answers behind a worker's record, less by their age.
     fn samples(&self, w: &Worker) -> f64 {
         w.samples * (-(self.now.saturating_sub(w.at) as f64) / TRUST.1).exp()
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,6 +88,7 @@
     pub(crate) answers: f64,
     /// The pace of calls, now and last known to work.
     pub(crate) call_gap: (f64, f64),
+    pub(crate) carried: f64,
 }
 
 impl Handover {
--- a/tests/workers.rs
+++ b/tests/workers.rs
@@ -119,3 +119,26 @@
     let taken = (0..200).filter(|_| sent(900 * MS)).count();
     assert!((100..200).contains(&taken), "{taken}");
 }
+
+#[test]
+fn a_cold_worker_gets_more_where_warm_ones_are_seen_to_carry_more() {
+    let to_cold = |step: u64| {
+        let mut s = Stage::new(settings(), &[1, 2]);
+        let run = |s: &mut Stage, span: Micros, step: Micros| {
+            let end = s.now + span;
+            while s.now < end {
+                s.ask(&format!("c{}", s.now), 0, 0, 1.0);
+                s.pass(step);
+                serve(s, |_| Some(50 * MS), |_| Outcome::Ok);
+            }
+        };
+        run(&mut s, 20 * S, step);
+        let info = WorkerInfo { started: Some(s.now), ..worker(3) };
+        s.list(ListScope::Delta, vec![info]);
+        s.sends.clear();
+        run(&mut s, 3 * S, 10 * MS);
+        s.sends.iter().filter(|(_, _, w)| *w == 3).count()
+    };
+    let (seen_idle, seen_busy) = (to_cold(500 * MS), to_cold(10 * MS));
+    assert!(seen_busy > seen_idle + seen_idle / 4, "{seen_busy} after {seen_idle}");
+}
