--- a/src/rules.rs
+++ b/src/rules.rs
@@ -116,8 +116,8 @@
     /// Sends to warm workers in this second, and how many requests of ours one of them carries at once.
     sent_warm: f64,
     carried: f64,
-    /// Left out by hand.
-    left_out: BTreeSet<WorkerId>,
+    /// Left out by hand, and when they had last started then.
+    left_out: BTreeMap<WorkerId, Option<Micros>>,
     requests: BTreeMap<RequestId, Open>,
     held: VecDeque<RequestId>,
     timers: BTreeMap<u64, RequestId>,
@@ -183,7 +183,8 @@
         match event {
             Event::Workers(list) => self.on_workers(list, out),
             Event::ByHand { worker, out: true } => {
-                self.left_out.insert(worker);
+                let started = self.workers.get(&worker).and_then(|w| w.info.started);
+                self.left_out.entry(worker).or_insert(started);
                 self.ready.retain(|id| *id != worker);
             }
             Event::ByHand { worker, out: false } => self.put_back(worker, out),
@@ -700,7 +701,7 @@
             return false;
         }
         if w.info.availability != Availability::Ready
-            || self.left_out.contains(&w.info.id)
+            || self.left_out.contains_key(&w.info.id)
             || (self.coldness(w, self.now) < 1.0 && (self.retired || self.credit(w) < 1.0))
         {
             return false;
@@ -944,18 +945,17 @@
     /// Those that may get something new: listed so, and not left out by hand.
     fn find_ready(&mut self) {
         let ready = self.workers.values().filter(|w| w.info.availability == Availability::Ready);
-        self.ready = ready.map(|w| w.info.id).filter(|id| !self.left_out.contains(id)).collect();
+        self.ready = ready.map(|w| w.info.id).filter(|id| !self.left_out.contains_key(id)).collect();
     }
 
-    /// A worker that was left out has been restarted meanwhile, whether or not the list tells of it yet.
+    /// A worker that was left out has been restarted meanwhile: now, unless the list has told when.
     fn put_back(&mut self, id: WorkerId, out: &mut Vec<Action>) {
-        if !self.left_out.remove(&id) {
-            return;
-        }
+        let Some(before) = self.left_out.remove(&id) else { return };
         let health = vec![Health::default(); self.typical.len()];
         let (credit, credit_at) = (self.rng.f64(), self.now);
         if let Some(w) = self.workers.get_mut(&id) {
-            let (info, returned) = (std::mem::take(&mut w.info), Some(credit_at));
+            let info = std::mem::take(&mut w.info);
+            let returned = (info.started <= before).then_some(credit_at);
             let inflight = w.inflight;
             *w = Worker {
                 info,
@@ -977,7 +977,8 @@
         let classes = self.set.classes.len();
         let avoided = |w: &&Worker| {
             let classes_avoided = w.health.iter().take(classes).filter(|h| now < h.avoid_until).count();
-            let left_out = self.left_out.contains(&w.info.id) && w.info.availability != Availability::Gone;
+            let left_out =
+                self.left_out.contains_key(&w.info.id) && w.info.availability != Availability::Gone;
             left_out || (w.info.availability == Availability::Ready && classes_avoided >= classes.min(2))
         };
         self.workers.values().filter(avoided).count()
--- a/tests/five_rules.rs
+++ b/tests/five_rules.rs
@@ -325,5 +325,12 @@
     assert!((1..=2).contains(&first), "{first} at once to a cold worker");
     s.pass(20 * S);
     assert!(ask(&mut s, 1) > 20, "warm again");
+    // Where the list has told of the restart meanwhile, that is when it began to warm up.
+    s.event(Event::ByHand { worker: WorkerId(1), out: true });
+    let restarted = WorkerInfo { started: Some(s.now), ..worker(1) };
+    s.list(ListScope::Delta, vec![restarted]);
+    s.pass(20 * S);
+    s.event(Event::ByHand { worker: WorkerId(1), out: false });
+    assert!(ask(&mut s, 1) > 20, "warm by now");
     assert_eq!(s.keeper.workers_avoided(s.now), 0);
 }
