--- a/src/main.rs
+++ b/src/main.rs
@@ -108,10 +108,12 @@
             }
         }
     });
+    let sweeper = server.clone();
     spawn_local(async move {
         loop {
             tokio::time::sleep(Duration::from_secs(1)).await;
             driver.workers.retire_idle();
+            sweeper.sweep();
         }
     });
     server.set_accepts(predecessor.is_none());
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,6 @@
 //! The clients' side: connections and their number, requests read and checked, answers written.
 
-use crate::net::body::{self, Broken, Reply};
+use crate::net::body::{self, Broken, Reply, FLOW_STALL};
 use crate::net::config::Config;
 use crate::net::driver::{self, Answer, Driver, Taken};
 use crate::net::workers::Parts;
@@ -16,8 +16,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -26,9 +30,11 @@
 /// request, is owed a close within 3 s.
 const FIRST_TIME: Duration = Duration::from_millis(2_500);
 /// How long a newcomer may be silent before it is the first to make room.
-const NEW_TIME: Duration = Duration::from_millis(500);
-/// How long a client may take over a further request's head, or be silent between two requests.
-const HEAD_TIME: Duration = Duration::from_secs(60);
+const NEW_TIME: Duration = Duration::from_millis(300);
+/// How long a head may take before it makes room.
+const HEAD_TIME: Duration = Duration::from_millis(2_100);
+/// How long a client may be silent between two requests.
+const IDLE_TIME: Duration = Duration::from_secs(60);
 /// The largest head of a request, bytes.
 const HEAD_MAX: usize = 16 * 1024;
 /// How long new connections are taken in after the call to stop.
@@ -53,7 +59,14 @@
     taken: Cell<bool>,
     served: Cell<bool>,
     idle_since: Cell<u64>,
+    /// When the head that is being read began.
+    head_since: Cell<Option<Instant>>,
+    /// Whether an answer is on its way, and when the client last took some of one.
+    answering: Cell<bool>,
+    moved: Cell<Instant>,
+    /// Asks for an end between two requests, or at once.
     close: Notify,
+    end: Notify,
 }
 
 impl Client {
@@ -64,16 +77,37 @@
             taken: Cell::default(),
             served: Cell::default(),
             idle_since: Cell::new(turn),
+            head_since: Cell::default(),
+            answering: Cell::default(),
+            moved: Cell::new(Instant::now()),
             close: Notify::new(),
+            end: Notify::new(),
         })
     }
 
-    /// The order in which those that can make room do: newcomers that keep silent, then clients between two
-    /// requests, the longest idle first.
-    fn makes_room(&self) -> Option<(bool, u64)> {
-        let silent = !self.taken.get() && self.since.elapsed() >= NEW_TIME;
-        let idle = !self.busy.get() && (silent || self.served.get());
-        idle.then(|| (!silent, self.idle_since.get()))
+    /// The order in which those that can make room do: newcomers without a byte, clients between two requests,
+    /// heads that have had their time; in each the longest idle first.
+    fn makes_room(&self) -> Option<(u8, u64)> {
+        let place = match self.head_since.get() {
+            _ if self.busy.get() => return None,
+            Some(since) => (since.elapsed() >= HEAD_TIME).then_some(2),
+            None if self.served.get() => Some(1),
+            None => (self.since.elapsed() >= NEW_TIME).then_some(0),
+        };
+        place.map(|place| (place, self.idle_since.get()))
+    }
+
+    /// Whether a further head hangs, or the client takes nothing of its answer.
+    fn hangs(&self) -> bool {
+        let head = self.head_since.get().filter(|_| !self.busy.get());
+        head.is_some_and(|since| since.elapsed() >= FIRST_TIME)
+            || (self.answering.get() && self.moved.get().elapsed() >= FLOW_STALL)
+    }
+
+    fn note_write(&self, polled: &Poll<io::Result<usize>>) {
+        if matches!(polled, Poll::Ready(Ok(_))) && self.answering.get() {
+            self.moved.set(Instant::now());
+        }
     }
 
     /// Ends where the first request is not there in time.
@@ -85,6 +119,57 @@
     }
 }
 
+/// A client's connection as the HTTP library reads and writes it.
+struct ClientIo {
+    stream: TcpStream,
+    client: Rc<Client>,
+}
+
+impl AsyncRead for ClientIo {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
+        let begins = !this.client.busy.get() && this.client.head_since.get().is_none();
+        if begins && buf.filled().len() > before {
+            this.client.head_since.set(Some(Instant::now()));
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for ClientIo {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.stream).poll_write(cx, buf);
+        this.client.note_write(&polled);
+        polled
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+        bufs: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.stream).poll_write_vectored(cx, bufs);
+        this.client.note_write(&polled);
+        polled
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
+
 /// What the clients' side is about.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Mode {
@@ -304,6 +389,11 @@
         }
     }
 
+    /// Closes what hangs. To be called every second.
+    pub fn sweep(&self) {
+        self.clients.borrow().values().filter(|c| c.hangs()).for_each(|c| c.end.notify_one());
+    }
+
     fn turn(&self) -> u64 {
         self.turns.set(self.turns.get() + 1);
         self.turns.get()
@@ -325,13 +415,17 @@
         let service = service_fn(|request| {
             let (server, client) = (self.clone(), client.clone());
             client.busy.set(true);
+            client.head_since.set(None);
             async move {
                 let mut answer = server.answer(request, &client).await;
                 if server.mode.get() != Mode::Serving || server.retired.get() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
+                client.moved.set(Instant::now());
+                client.answering.set(true);
                 answer.body_mut().on_done(move || {
                     client.busy.set(false);
+                    client.answering.set(false);
                     client.served.set(true);
                     client.idle_since.set(server.turn());
                     // At the limit `accept` may have found none that idles: now there is one.
@@ -342,17 +436,18 @@
         });
         let conn = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIME)
+            .header_read_timeout(IDLE_TIME)
             .max_buf_size(HEAD_MAX)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(ClientIo { stream, client: client.clone() }), service);
         let mut conn = std::pin::pin!(conn);
         // A client that misbehaves or leaves ends its own connection and nothing else.
         tokio::select! {
             ended = conn.as_mut() => return drop(ended),
             () = client.overdue() => return,
+            () = client.end.notified() => return,
             () = client.close.notified() => {
-                // A newcomer that makes room may hang in the middle of a head.
-                if !client.taken.get() && self.mode.get() != Mode::Stopping && !self.retired.get() {
+                // One that makes room may hang in the middle of a head.
+                if (!client.taken.get() || client.head_since.get().is_some()) && self.mode.get() != Mode::Stopping && !self.retired.get() {
                     return;
                 }
                 conn.as_mut().graceful_shutdown()
@@ -361,6 +456,7 @@
         tokio::select! {
             _ = conn => {}
             () = client.overdue() => {}
+            () = client.end.notified() => {}
         }
     }
 
