--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod counter;
 pub mod discovery;
 pub mod driver;
+pub mod framing;
 pub mod handover;
 pub mod server;
 pub mod telemetry;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,6 +3,7 @@
 use crate::net::body::{self, Broken, Reply, FLOW_STALL};
 use crate::net::config::Config;
 use crate::net::driver::{self, Answer, Driver, Taken};
+use crate::net::framing::Framing;
 use crate::net::workers::Parts;
 use crate::net::{decimal, note, ACCEPT_PAUSE, BODY_MAX};
 use crate::settings::Names;
@@ -61,6 +62,7 @@
     idle_since: Cell<u64>,
     /// When the head that is being read began.
     head_since: Cell<Option<Instant>>,
+    framing: RefCell<Framing>,
     /// Whether an answer is on its way, and when the client last took some of one.
     answering: Cell<bool>,
     moved: Cell<Instant>,
@@ -78,6 +80,7 @@
             served: Cell::default(),
             idle_since: Cell::new(turn),
             head_since: Cell::default(),
+            framing: RefCell::default(),
             answering: Cell::default(),
             moved: Cell::new(Instant::now()),
             close: Notify::new(),
@@ -130,9 +133,12 @@
         let this = self.get_mut();
         let before = buf.filled().len();
         let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
-        let begins = !this.client.busy.get() && this.client.head_since.get().is_none();
-        if begins && buf.filled().len() > before {
-            this.client.head_since.set(Some(Instant::now()));
+        let read = &buf.filled()[before..];
+        if !(this.client.busy.get() || read.is_empty()) {
+            if this.client.head_since.get().is_none() {
+                this.client.head_since.set(Some(Instant::now()));
+            }
+            this.client.framing.borrow_mut().feed(read);
         }
         polled
     }
@@ -416,8 +422,9 @@
             let (server, client) = (self.clone(), client.clone());
             client.busy.set(true);
             client.head_since.set(None);
+            let framing = client.framing.take();
             async move {
-                let mut answer = server.answer(request, &client).await;
+                let mut answer = server.answer(request, &client, framing.conflicts()).await;
                 if server.mode.get() != Mode::Serving || server.retired.get() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -460,12 +467,23 @@
         }
     }
 
-    async fn answer(self: &Rc<Self>, request: Request<Incoming>, client: &Client) -> Response<Reply> {
+    async fn answer(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+        client: &Client,
+        conflicts: bool,
+    ) -> Response<Reply> {
         if request.uri().path() == "/up" && request.method() == Method::GET {
             client.taken.set(true);
             return plain(if self.is_up() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
-        let taken = match self.read(request, client).await {
+        let read = async {
+            match conflicts {
+                true => Err(bad("two framings")),
+                false => self.read(request, client).await,
+            }
+        };
+        let taken = match read.await {
             Ok(taken) => taken,
             Err((status, what)) => {
                 let mut answer = plain(status, what);
--- a/src/net/workers.rs
+++ b/src/net/workers.rs
@@ -6,7 +6,7 @@
 use crate::{Outcome, WorkerId};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -422,6 +422,10 @@
     }
     let answer: Response<Incoming> = sender.send_request(request).await.map_err(|_| Broken::Connection)?;
     let (head, body) = answer.into_parts();
+    if head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING) {
+        // Which of the two framings holds can't be told.
+        return Err(Broken::Connection);
+    }
     let body = gather(body, room, head.status == StatusCode::OK).await?;
     Ok((head.status, head.headers, body))
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -91,6 +91,9 @@
         (400, Ask { terms: "units=1,spread=0,first=0".into(), ..pull() }.text()),
         (400, Ask { terms: "units=1,spread=1,first=9".into(), ..pull() }.text()),
         (400, Ask { body: Some("a body".into()), ..pull() }.text()),
+        (400, push().text().replace("Content-Length: 5", "Content-Length: 5\r\nTransfer-Encoding: chunked")),
+        (400, push().text().replace("Content-Length: 5", "Transfer-Encoding: chunked\r\nContent-Length: 5")),
+        (400, push().text().replace("Content-Length: 5", "Content-Length: 5\r\nContent-Length: 4")),
         (413, push().text().replace("Content-Length: 5", "Content-Length: 99999999999")),
         (431, good.replace("Host:", &format!("X-Long: {}\r\nHost:", "x".repeat(100_000)))),
     ];
@@ -118,6 +121,9 @@
         Reply::RawThenClose(short.into()),
         Reply::RawThenClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n".into()),
         Reply::RawThenClose("what is this\r\n\r\n".into()),
+        Reply::RawThenClose(
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nboth\r\n0\r\n\r\n".into(),
+        ),
         Reply::Answer("500 Oops".into(), "no".into()),
         Reply::Answer("503 Full".into(), "no".into()),
         Reply::Answer("504 Late\r\nNot-Started: 0".into(), "no".into()),
