Take only a restart after the exclusion as told; leave only once the successor knows all

Two faults found in reading: a server excluded before an upgrade counted as restarted by any start that the new process heard of, so that a cold one could be taken for warm; an old process without clients could end while it wrote what it knows.

--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -316,7 +316,11 @@
     }
     match parts.len() {
         1 => Ok(Gathered::Whole(parts.pop_front().unwrap_or_default())),
-        _ => Ok(Gathered::Whole(parts.iter().flatten().copied().collect())),
+        _ => {
+            let mut all = BytesMut::with_capacity(held);
+            parts.iter().for_each(|part| all.extend_from_slice(part));
+            Ok(Gathered::Whole(all.freeze()))
+        }
     }
 }
 
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -260,6 +260,7 @@
         write: &mut OwnedWriteHalf,
     ) -> io::Result<()> {
         say(write, known).await?;
+        self.server.let_leave();
         loop {
             self.by_hand.follow();
             self.server.set_clients_max(self.clients_max / 2);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -201,6 +201,8 @@
     /// Whether this process takes connections; what changes of that, or of readiness, is told by `turned`.
     accepts: Cell<bool>,
     retired: Cell<bool>,
+    /// Whether a successor knows all that it needs.
+    may_leave: Cell<bool>,
     turned: Notify,
     told: Notify,
     mode: Cell<Mode>,
@@ -225,6 +227,7 @@
             ready: Cell::new(false),
             accepts: Cell::new(true),
             retired: Cell::new(false),
+            may_leave: Cell::new(false),
             turned: Notify::new(),
             told: Notify::new(),
             mode: Cell::new(Mode::Serving),
@@ -250,6 +253,7 @@
     pub fn set_accepts(&self, accepts: bool) {
         self.accepts.set(accepts);
         self.retired.set(false);
+        self.may_leave.set(false);
         self.turned.notify_one();
     }
 
@@ -262,6 +266,11 @@
         idle.iter().take(beyond).for_each(|c| c.close.notify_one());
     }
 
+    /// Lets the process end once its last client has left.
+    pub fn let_leave(&self) {
+        self.may_leave.set(true);
+    }
+
     /// Whether a successor takes the connections.
     pub fn is_retired(&self) -> bool {
         self.retired.get()
@@ -274,7 +283,7 @@
 
     /// Returns once a successor takes the connections and the last client here has left.
     pub async fn until_left(&self) {
-        while !self.retired.get() || !self.clients.borrow().is_empty() {
+        while !self.may_leave.get() || !self.clients.borrow().is_empty() {
             tokio::time::sleep(LEFT_AGAIN).await;
         }
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -116,8 +116,8 @@
     /// Sends to warm workers in this second, and how many requests of ours one of them carries at once.
     sent_warm: f64,
     carried: f64,
-    /// Left out by hand, and when they had last started then.
-    left_out: BTreeMap<WorkerId, Option<Micros>>,
+    /// Left out by hand, and since when.
+    left_out: BTreeMap<WorkerId, Micros>,
     requests: BTreeMap<RequestId, Open>,
     held: VecDeque<RequestId>,
     timers: BTreeMap<u64, RequestId>,
@@ -183,8 +183,7 @@
         match event {
             Event::Workers(list) => self.on_workers(list, out),
             Event::ByHand { worker, out: true } => {
-                let started = self.workers.get(&worker).and_then(|w| w.info.started);
-                self.left_out.entry(worker).or_insert(started);
+                self.left_out.entry(worker).or_insert(self.now);
                 self.ready.retain(|id| *id != worker);
             }
             Event::ByHand { worker, out: false } => self.put_back(worker, out),
@@ -950,12 +949,12 @@
 
     /// A worker that was left out has been restarted meanwhile: now, unless the list has told when.
     fn put_back(&mut self, id: WorkerId, out: &mut Vec<Action>) {
-        let Some(before) = self.left_out.remove(&id) else { return };
+        let Some(since) = self.left_out.remove(&id) else { return };
         let health = vec![Health::default(); self.typical.len()];
         let (credit, credit_at) = (self.rng.f64(), self.now);
         if let Some(w) = self.workers.get_mut(&id) {
             let info = std::mem::take(&mut w.info);
-            let returned = (info.started <= before).then_some(credit_at);
+            let returned = (info.started <= Some(since)).then_some(credit_at);
             let inflight = w.inflight;
             *w = Worker {
                 info,
--- a/tests/five_rules.rs
+++ b/tests/five_rules.rs
@@ -327,10 +327,18 @@
     assert!(ask(&mut s, 1) > 20, "warm again");
     // Where the list has told of the restart meanwhile, that is when it began to warm up.
     s.event(Event::ByHand { worker: WorkerId(1), out: true });
+    s.pass(S);
     let restarted = WorkerInfo { started: Some(s.now), ..worker(1) };
     s.list(ListScope::Delta, vec![restarted]);
     s.pass(20 * S);
     s.event(Event::ByHand { worker: WorkerId(1), out: false });
     assert!(ask(&mut s, 1) > 20, "warm by now");
+    // A start from before proves nothing, also where it was not known then.
+    let mut s = Stage::new(settings(), &[2]);
+    s.event(Event::ByHand { worker: WorkerId(1), out: true });
+    s.list(ListScope::Delta, vec![WorkerInfo { started: Some(s.now - 60 * S), ..worker(1) }]);
+    s.pass(S);
+    s.event(Event::ByHand { worker: WorkerId(1), out: false });
+    assert!(ask(&mut s, 1) <= 2, "taken for warm");
     assert_eq!(s.keeper.workers_avoided(s.now), 0);
 }
