Leave queued work out of what warm servers are seen to carry

Work that waits passes for a server's size, so that a cold one could be sent past the rule's multiple once an overload is over.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -85,7 +85,7 @@
 const COLD_PART: f64 = 1.0;
 /// Part of what warm workers are seen to carry that a cold one is sent, beside the above; the weights with
 /// which that is learned upwards and downwards, once a second; the part of the fleet that must be warm.
-const CARRIED: (f64, f64, f64, f64) = (0.6, 0.1, 0.02, 0.5);
+const CARRIED: (f64, f64, f64, f64) = (1.2, 0.1, 0.02, 0.5);
 /// Sends to a warm worker in a second that tell anything of its size: a small part of its load does not.
 const TELLING: f64 = 2.0;
 /// Random draws of a worker before all are looked through.
@@ -1014,7 +1014,9 @@
         let sent = std::mem::take(&mut self.sent_warm);
         let telling = sent >= TELLING * warm * span as f64 / 1e6 || self.carried > 0.0;
         if warm >= (CARRIED.3 * self.ready.len() as f64).max(1.0) && telling {
-            let carries = sent / warm / span as f64 * self.mean_latency();
+            // Without what waits in queues: that would pass for size once they are gone.
+            let unqueued = (self.unpressed / self.pressure.max(1e-9)).min(1.0);
+            let carries = sent / warm / span as f64 * self.mean_latency() * unqueued;
             self.carried +=
                 (carries - self.carried) * if carries > self.carried { CARRIED.1 } else { CARRIED.2 };
         }
