Learn what warm servers carry from the fleet's sends, not from one gatekeeper's

The module's state, written out each second: `carried` is 0.00 at every gatekeeper.

At fault: `learn_carried` wants two sends a second to each warm server from one gatekeeper before it learns anything. Of 100 gatekeepers none sends more than a tenth of that, so a cold server gets what one core may have. Sends are now judged times the number of gatekeepers.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -86,8 +86,9 @@
 /// Part of what warm workers are seen to carry that a cold one is sent, beside the above; the weights with
 /// which that is learned upwards and downwards, once a second; the part of the fleet that must be warm.
 const CARRIED: (f64, f64, f64, f64) = (1.2, 0.1, 0.02, 0.5);
-/// Sends to a warm worker in a second that tell anything of its size: a small part of its load does not.
-const TELLING: f64 = 2.0;
+/// Sends to a warm worker in a second, by all gateways, that tell anything of its size: a small part of its
+/// load does not.
+const TELLING: f64 = 4.0;
 /// Random draws of a worker before all are looked through.
 const DRAWS: usize = 8;
 /// Customers that a successor is told of, at most.
@@ -1012,7 +1013,8 @@
         let ready = self.ready.iter().filter_map(|id| self.workers.get(id));
         let warm = ready.filter(|w| self.coldness(w, self.now) >= 1.0).count() as f64;
         let sent = std::mem::take(&mut self.sent_warm);
-        let telling = sent >= TELLING * warm * span as f64 / 1e6 || self.carried > 0.0;
+        let all = sent * self.instances();
+        let telling = all >= TELLING * warm * span as f64 / 1e6 || self.carried > 0.0;
         if warm >= (CARRIED.3 * self.ready.len() as f64).max(1.0) && telling {
             // Without what waits in queues: that would pass for size once they are gone.
             let unqueued = (self.unpressed / self.pressure.max(1e-9)).min(1.0);
