--- a/src/rules.rs
+++ b/src/rules.rs
@@ -995,8 +995,8 @@
         (from + (1.0 - from) * age / warm).min(1.0)
     }
 
-    /// Sends that a cold worker may have had from us and did not: at our part of the rate at which it would be
-    /// busy if it had one core, or the size of those that are seen to take more when warm, by its coldness.
+    /// Sends that a cold worker may have had from us and did not: at our part of the rate that keeps it busy
+    /// if it has one core, or the size of those that are seen to take more when warm, by its coldness.
     fn credit(&self, w: &Worker) -> f64 {
         let one_core = 1e6 / self.mean_latency() / self.instances();
         let rate = COLD_PART * one_core.max(self.carried);
