Send by choice to 12 servers each where many gatekeepers share the servers

Ruled out: connections closed too early (0 closed as idle, open ones only grow); servers that refuse them while alive (connects fail at servers that the list no longer names, once it comes).

At fault: `pick` draws from all that are listed, so that what is known of a server, and the connection to it, is spread over 6,000 pairs. Now the servers stand in an order that all gatekeepers agree on, and each sends to 12 from its own place on, which steps of the golden section spread; an avoided one is replaced by the next. Cold credit and even parts are shared by those that send to a server. Where fewer than 8 would share a server there is no choice to make: small sites send to all as before.

--- a/src/api.rs
+++ b/src/api.rs
@@ -128,6 +128,8 @@
 pub struct Settings {
     /// How many gatekeepers there are.
     pub instances: u32,
+    /// This gatekeeper's number among them, from 0.
+    pub me: u32,
     /// Shortest time between two calls of `handle`.
     pub resolution: Micros,
     /// The zone this gatekeeper is in.
@@ -179,13 +181,15 @@
     pub size: f64,
     /// When it last started; `None` means long ago.
     pub started: Option<Micros>,
+    /// Its place in the order of all workers, the same at every gateway.
+    pub place: u64,
 }
 
 impl WorkerInfo {
     /// A warm worker that takes work, of size 1, in the nameless zone.
     pub fn ready(id: WorkerId) -> Self {
         let availability = Availability::Ready;
-        WorkerInfo { id, availability, zone: Zone::default(), cell: 0, size: 1.0, started: None }
+        WorkerInfo { id, availability, zone: Zone::default(), cell: 0, size: 1.0, started: None, place: 0 }
     }
 }
 
--- a/src/bin/hingestage-adapter/wire.rs
+++ b/src/bin/hingestage-adapter/wire.rs
@@ -109,6 +109,7 @@
         zone: Zone(f.text_or_empty("zone").into()),
         cell: f.span_or_zero("block")?,
         size: f.checked("powerHint")?.unwrap_or(1.0),
+        place: hash(f.text("worker")?),
         started: f.optional("lastStartUs")?.filter(|at| *at > 0),
     })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,4 +52,4 @@
 
 pub use api::*;
 pub use rules::Gatekeeper;
-pub use state::Handover;
+pub use state::{hash, Handover};
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,6 +3,7 @@
 use crate::net::driver::Driver;
 use crate::net::wire::{Place, Wire, WireIo};
 use crate::net::{note, Backoff};
+use crate::state::hash;
 use crate::{Availability, Event, ListScope, WorkerId, WorkerInfo, WorkerList, Zone};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
@@ -133,6 +134,7 @@
             cell: target.pod_group,
             size: target.capacity_hint.filter(|n| n.is_finite() && *n > 0.0).unwrap_or(1.0),
             // The gateway's clock counts Unix time too, so that all gateways agree on a start.
+            place: hash(&target.uid),
             started: (target.boot_ms > 0).then(|| target.boot_ms.saturating_mul(1_000)),
         }
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -76,9 +76,14 @@
 const INFLIGHT_CUT: f64 = 0.92;
 /// Part of the aim past which an answer counts as slow and cuts the in-flight limit.
 const LATE_SHARE: f64 = 0.5;
+/// The golden section.
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// Multiple of the unloaded latency past which a worker counts as held full, and the growth of the unloaded
 /// latency with each answer, so that a changed fleet is learned anew.
 const QUEUED: (f64, f64) = (2.3, 1.0001);
+/// Workers that a gateway sends to by choice where they are shared by that many gateways each, and the fewest
+/// gateways that share one: of many gateways, each knows a few workers well and keeps few connections.
+const NEAR: (usize, f64) = (12, 8.0);
 /// How much better a worker of another zone must look.
 const CROSS_ZONE: f64 = 1.1;
 /// Part of what a worker of its size could do at its age that a cold one is sent. Well under the rule's
@@ -114,7 +119,10 @@
     counted: f64,
     uncounted: f64,
     workers: BTreeMap<WorkerId, Worker>,
+    /// Those that may get something new, in the order of all from this gateway's own place on; to how many of
+    /// the first it sends by choice.
     ready: Vec<WorkerId>,
+    near: usize,
     /// Sends to warm workers in this second, and how many of ours one of them gets in a second,
     /// by how many looks.
     sent_warm: f64,
@@ -188,7 +196,7 @@
             Event::Workers(list) => self.on_workers(list, out),
             Event::ByHand { worker, out: true } => {
                 self.left_out.entry(worker).or_insert(self.now);
-                self.ready.retain(|id| *id != worker);
+                self.find_ready();
             }
             Event::ByHand { worker, out: false } => self.put_back(worker, out),
             Event::Request(request) => self.on_request(request, out),
@@ -277,7 +285,7 @@
         let n = f64::from(gateways.max(1));
         let c = self.customers.entry(key.clone()).or_insert_with(|| Customer {
             gateways: n,
-            shift: hash(&key.1) % WINDOW_MAX as u64,
+            shift: hash(&key.1 .0) % WINDOW_MAX as u64,
             level: p.burst / n,
             at: self.now,
             read_at: self.now,
@@ -491,6 +499,7 @@
     /// Forgets customers that are idle, out of the box and whose ceiling share is full again, and units that
     /// no call could carry within their window.
     fn age_out(&mut self, span: Micros) {
+        self.find_near();
         self.learn_carried(span);
         let (now, windows) =
             (self.now, (0..self.set.plans.len()).map(|i| self.window(i)).collect::<Vec<f64>>());
@@ -930,10 +939,8 @@
         }
         let health = vec![Health::default(); self.typical.len()];
         for info in list.workers {
-            // Hundreds of gateways hear of a start together; a random first credit keeps them out of step.
-            let (credit, credit_at) = (self.rng.f64(), self.now);
             let health = health.clone();
-            let fresh = |info| Worker { info, slow: 1.0, health, credit, credit_at, ..Worker::default() };
+            let fresh = |info| Worker { info, slow: 1.0, health, ..Worker::default() };
             match self.workers.get_mut(&info.id) {
                 Some(w) if w.info.started == info.started => w.info = info,
                 Some(w) => *w = Worker { inflight: w.inflight, ..fresh(info) },
@@ -948,28 +955,50 @@
     /// Those that may get something new: listed so, and not left out by hand.
     fn find_ready(&mut self) {
         let ready = self.workers.values().filter(|w| w.info.availability == Availability::Ready);
-        self.ready = ready.map(|w| w.info.id).filter(|id| !self.left_out.contains_key(id)).collect();
+        let mut ready: Vec<(u64, WorkerId)> = ready
+            .map(|w| (w.info.place, w.info.id))
+            .filter(|(_, id)| !self.left_out.contains_key(id))
+            .collect();
+        ready.sort_unstable();
+        // Steps of the golden section spread any number of gateways evenly, and neighbours far apart.
+        let own = (f64::from(self.set.me) * GOLDEN).fract() * ready.len() as f64;
+        ready.rotate_left(own as usize);
+        self.ready = ready.into_iter().map(|(_, id)| id).collect();
+        self.find_near();
+    }
+
+    /// Those that this gateway sends to by choice: the first ones, and the next for those that are avoided.
+    fn find_near(&mut self) {
+        let enough = (NEAR.1 * self.ready.len() as f64 / self.instances()).ceil() as usize;
+        let (mut wanted, mut near) = (NEAR.0.max(enough), 0);
+        for (i, id) in self.ready.iter().enumerate() {
+            let Some(w) = self.workers.get_mut(id) else { continue };
+            let taken = wanted > 0;
+            if taken && !w.near {
+                // Many gateways hear of a start together; a random first credit keeps them out of step.
+                (w.credit, w.credit_at) = (self.rng.f64(), self.now);
+            }
+            w.near = taken;
+            near = if taken { i + 1 } else { near };
+            wanted -= usize::from(taken && !w.is_avoided(self.now));
+        }
+        self.near = near;
+    }
+
+    /// How many gateways send to one worker by choice.
+    fn sharing(&self) -> f64 {
+        self.instances() * (self.near as f64 / self.ready.len().max(1) as f64).max(1.0 / self.instances())
     }
 
     /// A worker that was left out has been restarted meanwhile: now, unless the list has told when.
     fn put_back(&mut self, id: WorkerId, out: &mut Vec<Action>) {
         let Some(since) = self.left_out.remove(&id) else { return };
         let health = vec![Health::default(); self.typical.len()];
-        let (credit, credit_at) = (self.rng.f64(), self.now);
+        let now = self.now;
         if let Some(w) = self.workers.get_mut(&id) {
             let info = std::mem::take(&mut w.info);
-            let returned = (info.started <= Some(since)).then_some(credit_at);
-            let inflight = w.inflight;
-            *w = Worker {
-                info,
-                returned,
-                inflight,
-                slow: 1.0,
-                health,
-                credit,
-                credit_at,
-                ..Worker::default()
-            };
+            let returned = (info.started <= Some(since)).then_some(now);
+            *w = Worker { info, returned, inflight: w.inflight, slow: 1.0, health, ..Worker::default() };
         }
         self.find_ready();
         self.release_held(out);
@@ -977,12 +1006,10 @@
 
     /// How many listed workers get nothing for now, though they would take it.
     pub fn workers_avoided(&self, now: Micros) -> usize {
-        let classes = self.set.classes.len();
         let avoided = |w: &&Worker| {
-            let classes_avoided = w.health.iter().take(classes).filter(|h| now < h.avoid_until).count();
             let left_out =
                 self.left_out.contains_key(&w.info.id) && w.info.availability != Availability::Gone;
-            left_out || (w.info.availability == Availability::Ready && classes_avoided >= classes.min(2))
+            left_out || (w.info.availability == Availability::Ready && w.is_avoided(now))
         };
         self.workers.values().filter(avoided).count()
     }
@@ -998,7 +1025,10 @@
     /// Sends that a cold worker may have had from us and did not: at our part of the rate that keeps it busy
     /// if it has one core, or the size of those that are seen to take more when warm, by its coldness.
     fn credit(&self, w: &Worker) -> f64 {
-        let one_core = 1e6 / self.mean_latency() / self.instances();
+        if !w.near {
+            return 0.0;
+        }
+        let one_core = 1e6 / self.mean_latency() / self.sharing();
         let rate = COLD_PART * one_core.max(self.carried);
         let span = self.now.saturating_sub(w.credit_at);
         let mean = self.coldness(w, self.now - span / 2);
@@ -1013,11 +1043,11 @@
 
     /// What a warm worker gets tells what its size can do, as far as most of the fleet is warm.
     fn learn_carried(&mut self, span: Micros) {
-        let ready = self.ready.iter().filter_map(|id| self.workers.get(id));
-        let warm = ready.filter(|w| self.coldness(w, self.now) >= 1.0).count() as f64;
+        let near = self.ready[..self.near].iter().filter_map(|id| self.workers.get(id));
+        let warm = near.filter(|w| self.coldness(w, self.now) >= 1.0).count() as f64;
         let sent = std::mem::take(&mut self.sent_warm) / secs(span);
-        let telling = sent * self.instances() >= TELLING * warm || self.carried > 0.0;
-        if warm >= (CARRIED.3 * self.ready.len() as f64).max(1.0) && telling {
+        let telling = sent * self.sharing() >= TELLING * warm || self.carried > 0.0;
+        if warm >= (CARRIED.3 * self.near as f64).max(1.0) && telling {
             let gets = sent / warm;
             let upwards = (CARRIED.0 * sent / CARRIED.2).clamp(CARRIED.1, CARRIED.0);
             // The first looks count alike.
@@ -1091,13 +1121,14 @@
     /// A worker that failed a class is avoided for it; one that fails two, for all. It covers fast failures,
     /// silence and workers that fail one class only. Harm: a chance failure costs one worker for a meeting.
     fn strike(&mut self, id: WorkerId, class_ix: usize) {
-        let meeting = self.send_gap * self.ready.len() as f64;
+        let meeting = self.send_gap * self.near as f64;
         let now = self.now;
         let Some(h) = self.workers.get_mut(&id).and_then(|w| w.health.get_mut(class_ix)) else { return };
         if now >= h.avoid_until {
             let span = EJECT_FOR.0.max(meeting) * f64::from(1u32 << (h.strikes / STRIKE).min(3));
             h.avoid_until = now + span.min(EJECT_FOR.1) as Micros;
             h.strikes += STRIKE;
+            self.find_near();
         }
     }
 
@@ -1114,16 +1145,17 @@
         if n == 0 {
             return None;
         }
-        let draws: [usize; DRAWS] = std::array::from_fn(|_| self.rng.usize(..n));
+        let near = self.near.max(1);
+        let draws: [usize; DRAWS] = std::array::from_fn(|_| self.rng.usize(..near));
         let r = self.requests.get(id)?;
         let tried = |w: &&Worker| r.attempts.iter().any(|a| a.worker == w.info.id);
         let fit = |w: &&Worker| {
-            w.inflight < (self.limit / self.slow_of(w) / self.instances()).max(1.0) && self.may_send(r, w)
+            w.inflight < (self.limit / self.slow_of(w) / self.sharing()).max(1.0) && self.may_send(r, w)
         };
         let worker = |i: usize| self.workers.get(&self.ready[i]);
         // What a cold worker may be sent is little, and is used as soon as it has gathered.
         let cold = |w: &&Worker| self.coldness(w, self.now) < 1.0;
-        let mut ripe = (0..n).filter_map(|i| worker((draws[0] + i) % n)).filter(cold);
+        let mut ripe = (0..near).filter_map(|i| worker((draws[0] + i) % near)).filter(cold);
         if let Some(w) = ripe.find(|w| !tried(w) && self.healthy(r, w) && fit(w)) {
             return Some(w.info.id);
         }
@@ -1134,7 +1166,8 @@
             return Some(w.info.id);
         }
         // At most half the fleet is avoided on our own evidence: past that the trouble is not theirs.
-        let all: Vec<&Worker> = (0..n).filter_map(|i| worker((draws[0] + i) % n)).collect();
+        let first = (0..near).map(|i| (draws[0] + i) % near);
+        let all: Vec<&Worker> = first.chain(near..n).filter_map(worker).collect();
         let most = all.iter().filter(|w| !self.healthy(r, w)).count() * 2 > n;
         let fits = || all.iter().copied().filter(|w| (most || self.healthy(r, w)) && fit(w));
         let new = fits().filter(|w| !tried(w)).take(2).min_by(better);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -153,6 +153,7 @@
     }
     let settings = Settings {
         instances: f.number("instances")?,
+        me: f.optional("me")?.unwrap_or(0),
         resolution: f.span_or_zero("resolutionUs")?,
         zone: Zone(f.text_or_empty("zone").into()),
         counter: f.flag("familyInfo.mayCount")?,
--- a/src/state.rs
+++ b/src/state.rs
@@ -71,6 +71,17 @@
     pub health: Vec<Health>,
     pub credit: f64,
     pub credit_at: Micros,
+    /// Whether it is one of those that this gateway sends to by choice.
+    pub near: bool,
+}
+
+impl Worker {
+    /// Whether it gets nothing for now of most classes, as it failed them.
+    pub fn is_avoided(&self, now: Micros) -> bool {
+        let classes = self.health.len().saturating_sub(1);
+        let avoided = self.health.iter().take(classes).filter(|h| now < h.avoid_until).count();
+        avoided > 0 && avoided >= classes.min(2)
+    }
 }
 
 /// What a gateway's next process has to know, to go on where the last one stopped.
@@ -178,11 +189,11 @@
     if name.len() <= 40 {
         return CounterName(format!("{name}.{slot}"));
     }
-    CounterName(format!("~{:016x}.{slot}", hash(&key.1)))
+    CounterName(format!("~{:016x}.{slot}", hash(&key.1 .0)))
 }
 
 /// FNV, the same at every gateway.
-pub fn hash(customer: &CustomerId) -> u64 {
+pub fn hash(name: &str) -> u64 {
     let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100000001b3);
-    customer.0.bytes().fold(0xcbf29ce484222325, mix)
+    name.bytes().fold(0xcbf29ce484222325, mix)
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -11,10 +11,10 @@
     Settings { instances: GATEWAYS, ..settings() }
 }
 
-/// A gatekeeper of the fleet, with its own seed.
+/// A gatekeeper of the fleet, with its own seed and number.
 fn gateway(seed: u64, figures: &Settings, workers: &[u64]) -> Stage {
     let mut s = Stage::new(figures.clone(), &[]);
-    s.keeper = Gatekeeper::new(figures.clone(), seed, START);
+    s.keeper = Gatekeeper::new(Settings { me: seed as u32, ..figures.clone() }, seed, START);
     (s.timers, s.log) = (Vec::new(), Vec::new());
     s.list(ListScope::Full, workers.iter().map(|id| worker(*id)).collect());
     s
@@ -259,3 +259,59 @@
     let refused = class_of.keys().filter(|id| matches!(s.answer_of(id), Some(Answer::Refused(_)))).count();
     assert!(refused <= 20, "{refused} of 900 refused");
 }
+
+/// The workers that each gateway sends to, one request at a time.
+fn used_by(gateways: u32, workers: Vec<WorkerInfo>, requests: usize) -> Vec<BTreeMap<u64, usize>> {
+    let gateway = |me: u32| {
+        let figures = Settings { instances: gateways, me, counter: false, ..settings() };
+        let mut s = Stage::with(figures.clone(), Vec::new());
+        s.keeper = Gatekeeper::new(figures, u64::from(me), START);
+        s.list(ListScope::Full, workers.clone());
+        for n in 0..requests {
+            s.ask(&format!("c{n}"), 0, 0, 0.01);
+            // As long as a gateway expects at first.
+            s.pass(125 * MS);
+            serve_all(&mut s);
+        }
+        let mut used = BTreeMap::new();
+        s.sends.iter().for_each(|(_, _, w)| *used.entry(*w).or_insert(0) += 1);
+        used
+    };
+    (0..gateways).map(gateway).collect()
+}
+
+/// Workers as they are listed: their ids tell nothing, their places the same to all.
+fn placed(ids: impl Iterator<Item = u64>) -> Vec<WorkerInfo> {
+    ids.map(|id| WorkerInfo { place: hash(&format!("s-{id}")), ..worker(id) }).collect()
+}
+
+#[test]
+fn each_of_many_gateways_sends_to_a_few_workers_and_all_of_them_alike() {
+    let mut at_each = BTreeMap::new();
+    for used in used_by(100, placed(1..=60), 120) {
+        assert!((10..=12).contains(&used.len()), "one gateway sends to {}", used.len());
+        used.into_keys().for_each(|w| *at_each.entry(w).or_insert(0) += 1);
+    }
+    assert_eq!(at_each.len(), 60, "all workers are used");
+    assert!(at_each.values().all(|n| (17..=23).contains(n)), "gateways at each worker: {at_each:?}");
+}
+
+#[test]
+fn a_change_of_the_list_moves_few_of_a_gateways_workers() {
+    let before = used_by(100, placed(1..=60), 120);
+    // Six of sixty replaced.
+    let after = used_by(100, placed(7..=66), 120);
+    let kept = |(a, b): (&BTreeMap<u64, usize>, &BTreeMap<u64, usize>)| {
+        a.keys().filter(|w| b.contains_key(w)).count()
+    };
+    let kept: usize = before.iter().zip(&after).map(kept).sum();
+    // Windows drawn anew would have 216 in common.
+    assert!(kept >= 650, "{kept} of 1200 kept where 1080 could be");
+}
+
+#[test]
+fn few_gateways_send_to_all_workers() {
+    for used in used_by(4, placed(1..=20), 400) {
+        assert_eq!(used.len(), 20);
+    }
+}
