Spread calls for the list by seeded draws, over a time that grows with the fleet

Gatekeepers serve from the list of second 2 through a release of the servers: 170 failed connects and 200 "turned away" a second, further attempts used up.

At fault: `Backoff` doubles from 50 ms to 1 s without any draw, the same at all gatekeepers, whose number it does not know; `CONNECT` gives up calls that stand in line after 1 s, which are worked on all the same. First and longest wait and the time in line are now shares of the fleet's, drawn from the seed; the first call after a start is spread too. Waits to reconnect to the counter are drawn as well. Few gatekeepers wait as before.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 use hingestage::net::admin::Door;
 use hingestage::net::by_hand::ByHand;
 use hingestage::net::config::Config;
-use hingestage::net::discovery::{follow, Book};
+use hingestage::net::discovery::{follow, Book, Pace};
 use hingestage::net::driver::Driver;
 use hingestage::net::handover::{listen, meeting_place, Upgrade};
 use hingestage::net::server::Server;
@@ -77,9 +77,10 @@
         spawn_local(Door::new(server.clone(), by_hand).answer_calls(listener));
     }
     book.apply(&driver, &config.known, ListScope::Cached);
+    let pace = Pace::new(config.settings.instances, config.seed);
     spawn_local({
         let (driver, server) = (driver.clone(), server.clone());
-        follow(driver, book, agent, config.known.rev, move || server.set_ready())
+        follow(driver, book, agent, (config.known.rev, pace), move || server.set_ready())
     });
     if !config.known.targets.is_empty() {
         // While discovery is down the list of before is all there is, and serves well enough.
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -47,16 +47,17 @@
     owed: RefCell<VecDeque<Owed>>,
     next: Cell<u64>,
     odd: Cell<u64>,
+    seed: u64,
 }
 
 impl Counter {
-    /// Not connected yet; `wait` is how long a call may take.
-    pub fn new(at: Option<SocketAddr>, wait: Micros) -> Self {
+    /// Not connected yet; `wait` is how long a call may take, `seed` draws the waits between tries to connect.
+    pub fn new(at: Option<SocketAddr>, wait: Micros, seed: u64) -> Self {
         let (conn, owed) = (RefCell::default(), RefCell::default());
         let wait = Duration::from_micros(wait);
         let silent = (wait * SILENT_WAITS).max(SILENT_LEAST);
         let at = watch::Sender::new(at);
-        Counter { at, wait, silent, conn, owed, next: Cell::new(0), odd: Cell::new(0) }
+        Counter { at, wait, silent, conn, owed, next: Cell::new(0), odd: Cell::new(0), seed }
     }
 
     /// Adds to a number. The answer, exactly one, comes as an event.
@@ -122,7 +123,7 @@
     /// once, one that has not after a pause.
     async fn keep(&self, driver: &Rc<Driver>, at: Option<SocketAddr>) {
         let Some(at) = at else { return std::future::pending().await };
-        let mut backoff = Backoff::new();
+        let mut backoff = Backoff::new(self.seed);
         loop {
             let mut served = false;
             if let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(at)).await {
@@ -135,7 +136,7 @@
                 self.hang_up(driver);
             }
             if served {
-                backoff = Backoff::new();
+                backoff.reset();
             } else {
                 backoff.wait().await;
             }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -24,6 +24,9 @@
 const SILENT: Duration = Duration::from_millis(2_500);
 /// Time to connect to an agent on this machine, and again for the head of its answer.
 const CONNECT: Duration = Duration::from_secs(1);
+/// Time for the head of an answer for each gateway that may stand in line before: a call that is given up is
+/// worked on all the same, and asked again after that.
+const IN_LINE: Duration = Duration::from_millis(30);
 /// The longest line; a list of thousands of workers is shorter.
 const LINE_MAX: usize = 4 << 20;
 
@@ -140,36 +143,59 @@
     }
 }
 
+/// How calls for the list are spaced, which all gateways share one discovery for.
+pub struct Pace {
+    backoff: Backoff,
+    head: Duration,
+}
+
+impl Pace {
+    /// For one of so many gateways; `seed` draws.
+    pub fn new(gateways: u32, seed: u64) -> Pace {
+        Pace { backoff: Backoff::shared(gateways, seed), head: CONNECT.max(IN_LINE * gateways) }
+    }
+}
+
 /// Follows the list for ever, at wherever discovery is; calls `told` after each list or change.
 pub async fn follow(
     driver: Rc<Driver>,
     book: Rc<Book>,
     mut place: watch::Receiver<SocketAddr>,
-    rev: u64,
+    (mut rev, mut pace): (u64, Pace),
     told: impl Fn(),
 ) {
-    let mut rev = rev;
+    // Gateways that are started together do not ask together.
+    tokio::select! {
+        () = pace.backoff.wait() => {}
+        Ok(()) = place.changed() => {}
+    }
     loop {
         let at = *place.borrow_and_update();
+        pace.backoff.reset();
         tokio::select! {
-            () = follow_at(&driver, &book, at, &mut rev, &told) => {}
+            () = follow_at(&driver, &book, at, (&mut rev, &mut pace), &told) => {}
             Ok(()) = place.changed() => {}
         }
     }
 }
 
-async fn follow_at(driver: &Rc<Driver>, book: &Book, at: SocketAddr, rev: &mut u64, told: &impl Fn()) {
-    let mut backoff = Backoff::new();
+async fn follow_at(
+    driver: &Rc<Driver>,
+    book: &Book,
+    at: SocketAddr,
+    (rev, pace): (&mut u64, &mut Pace),
+    told: &impl Fn(),
+) {
     loop {
         let before = *rev;
-        match watch_list(driver, book, at, rev, told).await {
+        match watch_list(driver, book, (at, pace.head), rev, told).await {
             Ok(()) => {}
             Err(what) => note(&book.odd, format_args!("discovery: {what}")),
         }
         if *rev != before {
-            backoff = Backoff::new();
+            pace.backoff.reset();
         }
-        backoff.wait().await;
+        pace.backoff.wait().await;
     }
 }
 
@@ -187,7 +213,7 @@
 async fn watch_list(
     driver: &Rc<Driver>,
     book: &Book,
-    at: SocketAddr,
+    (at, head): (SocketAddr, Duration),
     rev: &mut u64,
     told: &impl Fn(),
 ) -> Result<(), String> {
@@ -200,13 +226,13 @@
         .map_err(|e| e.to_string())?;
     let task = tokio::task::spawn_local(async move { drop(conn.await) });
     wire.0.driven_by(task.abort_handle());
-    read_watch(driver, book, &mut sender, rev, told).await
+    read_watch(driver, book, (&mut sender, head), rev, told).await
 }
 
 async fn read_watch(
     driver: &Rc<Driver>,
     book: &Book,
-    sender: &mut hyper::client::conn::http1::SendRequest<Empty<Bytes>>,
+    (sender, head): (&mut hyper::client::conn::http1::SendRequest<Empty<Bytes>>, Duration),
     rev: &mut u64,
     told: &impl Fn(),
 ) -> Result<(), String> {
@@ -214,7 +240,7 @@
         .header(HOST, "discovery")
         .body(Empty::new())
         .map_err(|e| e.to_string())?;
-    let answer = timeout(CONNECT, sender.send_request(request)).await;
+    let answer = timeout(head, sender.send_request(request)).await;
     let mut answer = answer.map_err(|_| "no answer in time")?.map_err(|e| e.to_string())?;
     if answer.status() != StatusCode::OK {
         return Err(format!("answered {}", answer.status()));
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -124,7 +124,7 @@
             workers: Workers::new(config.workers_max, (connect, idle), telemetry.calls(), room.clone()),
             telemetry,
             room,
-            counter: Counter::new(config.counter, settings.counter_timeout),
+            counter: Counter::new(config.counter, settings.counter_timeout, config.seed),
             gatekeeper: RefCell::new(Gatekeeper::new(settings, config.seed, clock.now())),
             clock,
             open: RefCell::default(),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -36,27 +36,88 @@
     text.parse().ok().filter(|n: &f64| plain && *n > 0.0)
 }
 
-/// Waits between tries at a peer that may be down: doubling, so that it is neither flooded nor missed.
-pub struct Backoff(Duration);
+/// Waits between tries at a peer that may be down: doubling up to a longest, so that it is neither flooded nor
+/// missed, and drawn at random, so that gateways that lost it together do not come back together.
+pub struct Backoff {
+    first: Duration,
+    longest: Duration,
+    next: Duration,
+    rng: fastrand::Rng,
+}
 
 impl Backoff {
     const FIRST: Duration = Duration::from_millis(50);
     const LONGEST: Duration = Duration::from_secs(1);
+    /// What a gateway adds to the mean waits of all at a peer that they share.
+    const EACH: (Duration, Duration) = (Duration::from_millis(25), Duration::from_millis(100));
+
+    /// For a peer that takes a try without much work; `seed` draws.
+    pub fn new(seed: u64) -> Self {
+        Backoff::shared(1, seed)
+    }
+
+    /// For a peer of which each try takes work that it does for so many gateways: their tries stay about as
+    /// many in a second, however many they are.
+    pub fn shared(gateways: u32, seed: u64) -> Self {
+        let first = Self::FIRST.max(Self::EACH.0 * gateways);
+        let longest = Self::LONGEST.max(Self::EACH.1 * gateways);
+        Backoff { first, longest, next: first, rng: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// Starts again with the shortest wait.
+    pub fn reset(&mut self) {
+        self.next = self.first;
+    }
 
-    /// Starts with the shortest wait.
-    pub fn new() -> Self {
-        Backoff(Self::FIRST)
+    /// The next wait: anything up to twice the mean, which doubles.
+    pub fn draw(&mut self) -> Duration {
+        let mean = self.next;
+        self.next = (mean * 2).min(self.longest);
+        mean.mul_f64(2.0 * self.rng.f64())
     }
 
     /// Waits, the longer the more often in a row.
     pub async fn wait(&mut self) {
-        tokio::time::sleep(self.0).await;
-        self.0 = (self.0 * 2).min(Self::LONGEST);
+        tokio::time::sleep(self.draw()).await;
     }
 }
 
-impl Default for Backoff {
-    fn default() -> Self {
-        Backoff::new()
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Tries in each second of a minute, of gateways that lose a peer together and never reach it.
+    fn tries(gateways: u32) -> Vec<usize> {
+        let mut by_second = vec![0; 60];
+        for gateway in 0..gateways {
+            let mut backoff = Backoff::shared(gateways, u64::from(gateway));
+            let mut at = backoff.draw();
+            while at < Duration::from_secs(60) {
+                by_second[at.as_secs() as usize] += 1;
+                at += backoff.draw();
+            }
+        }
+        by_second
+    }
+
+    #[test]
+    fn many_gateways_do_not_flood_what_they_share() {
+        let many = tries(100);
+        assert!(many.iter().all(|n| *n <= 40), "{many:?}");
+        assert!(many[10..].iter().sum::<usize>() <= 50 * 15, "{many:?}");
+        assert!(many[10..].iter().sum::<usize>() >= 50 * 5, "they must go on: {many:?}");
+        let few = tries(3);
+        assert!(few[10..].iter().sum::<usize>() >= 100, "a few may ask once a second each: {few:?}");
+    }
+
+    #[test]
+    fn waits_grow_to_a_cap_and_start_again() {
+        let mut backoff = Backoff::new(7);
+        let waits: Vec<Duration> = (0..200).map(|_| backoff.draw()).collect();
+        assert!(waits[0] <= Duration::from_millis(100), "{waits:?}");
+        assert!(waits.iter().all(|wait| *wait <= Duration::from_secs(2)), "{waits:?}");
+        assert!(waits.iter().sum::<Duration>() >= Duration::from_secs(150), "{waits:?}");
+        backoff.reset();
+        assert!(backoff.draw() <= Duration::from_millis(100));
     }
 }
