Serve from the list of before at once after a start, not after a second

Ruled out: slow start-up (the log has the listening socket at once); the handover (no file of it, refused at once).

At fault: `KNOWN_WILL_DO` in `main.rs` waits a second for discovery, which a fleet that restarts together is now asked only over five.

--- a/src/main.rs
+++ b/src/main.rs
@@ -20,8 +20,6 @@
 
 /// Past the longest deadline after the call to stop nothing can be owed any more.
 const STOP_SPARE: Duration = Duration::from_millis(600);
-/// How long discovery may stay silent before the list of an earlier life is gone by.
-const KNOWN_WILL_DO: Duration = Duration::from_secs(1);
 
 fn main() -> ExitCode {
     // Requests would wait for ever behind a port that still accepts: better to end and be started again.
@@ -83,12 +81,8 @@
         follow(driver, book, agent, (config.known.rev, pace), move || server.set_ready())
     });
     if !config.known.targets.is_empty() {
-        // While discovery is down the list of before is all there is, and serves well enough.
-        let server = server.clone();
-        spawn_local(async move {
-            tokio::time::sleep(KNOWN_WILL_DO).await;
-            server.set_ready();
-        });
+        // The list of before serves well enough until discovery answers, which may take long.
+        server.set_ready();
     }
     spawn_local({
         let driver = driver.clone();
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -54,7 +54,9 @@
     let worker = Worker::start(ok("served"));
     let discovery = Discovery::start();
     discovery.speaks.store(0, Ordering::SeqCst);
-    let gateway = Gateway::ready(&config(discovery.addr, &[worker.listed("w0", "up")]));
+    let gateway = Gateway::start(&config(discovery.addr, &[worker.listed("w0", "up")]));
+    let first = gateway.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(first.status(), 200, "nothing is waited for");
     assert_eq!(gateway.ask(&pull().text()).body, "served");
 }
 
