--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,7 +83,7 @@
 const QUEUED: (f64, f64) = (2.3, 1.0001);
 /// Workers that a gateway sends to by choice where they are shared by that many gateways each, and the fewest
 /// gateways that share one: of many gateways, each knows a few workers well and keeps few connections.
-const NEAR: (usize, f64) = (12, 8.0);
+const NEAR: (usize, f64) = (8, 8.0);
 /// How much better a worker of another zone must look.
 const CROSS_ZONE: f64 = 1.1;
 /// Part of what a worker of its size could do at its age that a cold one is sent. Well under the rule's
