Count cold servers by their coldness in what may be out at once

Ruled out: a limit that does not learn (it falls from 7 to 5.6, too slowly for 13 s); further attempts (15 to 30 a second of 350).

At fault: `room` multiplies what one server may have by all that are listed, the cold ones too; what their credit keeps from them goes to the warm ones.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -123,6 +123,8 @@
     /// the first it sends by choice.
     ready: Vec<WorkerId>,
     near: usize,
+    /// How many warm workers all that are listed are worth.
+    strength: f64,
     /// Sends to warm workers in this second, and how many of ours one of them gets in a second,
     /// by how many looks.
     sent_warm: f64,
@@ -778,7 +780,7 @@
 
     /// What this gateway may have out in all.
     fn room(&self) -> f64 {
-        self.limit * self.ready.len() as f64 / self.instances()
+        self.limit * self.strength / self.instances()
     }
 
     fn dispatch_or_hold(&mut self, id: &RequestId, out: &mut Vec<Action>) {
@@ -983,6 +985,8 @@
             wanted -= usize::from(taken && !w.is_avoided(self.now));
         }
         self.near = near;
+        let ready = self.ready.iter().filter_map(|id| self.workers.get(id));
+        self.strength = ready.map(|w| self.coldness(w, self.now)).sum();
     }
 
     /// How many gateways send to one worker by choice.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -315,3 +315,20 @@
         assert_eq!(used.len(), 20);
     }
 }
+
+#[test]
+fn cold_workers_count_by_their_coldness_in_what_may_be_out() {
+    let out = |cold: u64| {
+        let figures = Settings { instances: 100, counter: false, ..settings() };
+        let mut s = gateway(3, &figures, &[]);
+        let started = |id| (id <= cold).then_some(s.now);
+        let workers = (1..=60).map(|id| WorkerInfo { started: started(id), ..worker(id) }).collect();
+        s.list(ListScope::Full, workers);
+        for n in 0..20 {
+            s.ask(&format!("c{n}"), 0, 0, 0.01);
+        }
+        s.out.len()
+    };
+    // Four at each of sixty, by a hundred: 2.4 each. With forty at a fifth, 28 are left: 1.1 each.
+    assert_eq!((out(0), out(40)), (3, 2));
+}
