--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -239,3 +239,17 @@
     }
     assert_eq!(figure(&new, "app_hosts_down"), 0);
 }
+
+/// Where no Unix socket can be had there are no upgrades, and all else is as ever.
+#[test]
+fn it_starts_and_serves_where_a_unix_socket_cannot_be_had() {
+    let worker = Worker::start(ok("served"));
+    let discovery = Discovery::start();
+    discovery.list(2, true, &[worker.listed("w0", "up")]);
+    let gateway = Gateway::start_in(deep_folder(), &config_with_door(discovery.addr));
+    gateway.wait_for_yes();
+    assert_eq!(gateway.ask(UP).status(), 200);
+    assert_eq!(gateway.ask(&pull().text()).body, "served");
+    assert!(gateway.call("evacuate").starts_with("YES"));
+    assert!(gateway.call("telemetry").contains("app_hosts_listed 1"));
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -317,9 +317,19 @@
 
 /// A folder of its own, empty.
 pub fn folder() -> Arc<Folder> {
+    folder_named("")
+}
+
+/// A folder whose path is longer than that of any Unix socket may be.
+pub fn deep_folder() -> Arc<Folder> {
+    folder_named(&"-deep".repeat(30))
+}
+
+fn folder_named(end: &str) -> Arc<Folder> {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-    let folder = Folder(std::env::temp_dir().join(format!("hingestage-{}-{number}", std::process::id())));
+    let name = format!("hingestage-{}-{number}{end}", std::process::id());
+    let folder = Folder(std::env::temp_dir().join(name));
     std::fs::create_dir_all(&folder.0).unwrap();
     Arc::new(folder)
 }
