Let versions of the list that come again or out of order change nothing

A delta older than what is known could put a drained server back into use, an older whole list on the same watch undo what came since.

At fault: `read_watch` takes in whatever line comes and sets the version back with it. A version must now be later than the last one of its watch, a change later than the version asked for; a whole list may begin a watch with any, as after a restart of discovery.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -246,6 +246,7 @@
         return Err(format!("answered {}", answer.status()));
     }
     let mut buffer = BytesMut::new();
+    let mut heard = None;
     loop {
         let frame = timeout(SILENT, answer.frame()).await.map_err(|_| "the watch fell silent")?;
         let Some(frame) = frame else { return Ok(()) };
@@ -257,6 +258,13 @@
                 continue;
             }
             let list: HostList = serde_json::from_slice(&line).map_err(|e| format!("a line: {e}"))?;
+            // A watch tells in order what came after the version asked for; only a whole list may begin anew.
+            let last = heard.or((!list.all).then_some(*rev));
+            if last.is_some_and(|last| list.rev <= last) {
+                note(&book.odd, format_args!("discovery: version {} after {}", list.rev, *rev));
+                continue;
+            }
+            heard = Some(list.rev);
             let scope = if list.all { ListScope::Full } else { ListScope::Delta };
             book.apply(driver, &list, scope);
             *rev = list.rev;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -240,6 +240,27 @@
     }
 }
 
+/// Versions that come again or out of order, whole or not, change nothing; the next proper one does.
+#[test]
+fn stale_and_repeated_versions_of_the_list_change_nothing() {
+    let workers = ["first", "second", "third"].map(|name| Worker::start(ok(name)));
+    let [first, second, third] = &workers;
+    let (gateway, discovery) = stage(&[first]);
+    discovery.list(4, true, &[second.listed("w1", "up")]);
+    discovery.list(3, false, &[first.listed("w0", "up")]);
+    discovery.list(4, false, &[second.listed("w1", "removed")]);
+    discovery.list(2, true, &[first.listed("w0", "up")]);
+    discovery.list(5, false, &[third.listed("w2", "up")]);
+    let until = Instant::now() + PATIENCE;
+    while gateway.ask(&pull().text()).body != "third" {
+        assert!(Instant::now() < until);
+    }
+    let mut bodies: Vec<String> = (0..40).map(|_| gateway.ask(&pull().text()).body).collect();
+    bodies.sort();
+    bodies.dedup();
+    assert_eq!(bodies, ["second", "third"]);
+}
+
 /// What a silent watch holds back counts as told 4 s after a reload at the latest: by then it must have been
 /// given up for another.
 #[test]
