Take absent limits of the settings as the least instead of refusing to start

Attempts and retry advice were required where the settings left them out, so that a start failed; what the other absent limits mean was written nowhere.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -164,10 +164,15 @@
         classes,
         plans,
         limits: Limits {
-            max_attempts: f.number("limits.maxAttempts")?,
+            // Absent limits allow the least: one attempt, no copy, no advice.
+            max_attempts: f.optional("limits.maxAttempts")?.unwrap_or(1),
             second_copies: f.flag("limits.mayDuplicate")?,
             cancel: f.flag("limits.mayCancel")?,
-            max_retry_after: if f.flag("limits.retryAfter")? { f.int("limits.maxRetryAfterUs")? } else { 0 },
+            max_retry_after: if f.flag("limits.retryAfter")? {
+                f.span_or_zero("limits.maxRetryAfterUs")?
+            } else {
+                0
+            },
         },
         rules: RuleFigures {
             cold_from: f.float("rules.coldFrom")?,
@@ -197,3 +202,24 @@
         other => pairs.push((path.to_owned(), other.to_string())),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn limits_that_are_absent_allow_the_least() {
+        let told = serde_json::json!({
+            "instances": 100,
+            "limits": {"retryAfter": true},
+            "rules": {"coldFrom": 0.2, "coldUs": 1_000, "fallMultiple": 2, "tipAfterUs": 1_000},
+        });
+        let mut pairs = Vec::new();
+        flatten("", &told, &mut pairs);
+        let (settings, _) = settings(&Fields::from_pairs("settings", &pairs)).unwrap();
+        let limits = &settings.limits;
+        assert_eq!((limits.max_attempts, limits.max_retry_after), (1, 0));
+        assert!(!limits.second_copies && !limits.cancel && !settings.counter);
+        assert_eq!(settings.me, 0);
+    }
+}
