--- a/src/main.rs
+++ b/src/main.rs
@@ -75,7 +75,10 @@
         spawn_local(Door::new(server.clone(), by_hand).answer_calls(listener));
     }
     book.apply(&driver, &config.known, ListScope::Cached);
-    let pace = Pace::new(config.settings.instances, config.seed);
+    let pace = match config.ask_within {
+        Some(within) => Pace::shared(config.settings.instances, within, config.seed),
+        None => Pace::own(config.seed),
+    };
     spawn_local({
         let (driver, server) = (driver.clone(), server.clone());
         follow(driver, book, agent, (config.known.rev, pace), move || server.set_ready())
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -60,6 +60,8 @@
     pub workers_max: usize,
     /// Bytes of bodies that may be held, for all requests together: a part of the limit on memory.
     pub held_max: usize,
+    /// Where the list of workers has to be asked for: after so long without it counts as told all the same.
+    pub ask_within: Option<Duration>,
     /// A connection to a worker not established by then never is.
     pub connect_timeout: Duration,
     /// A worker closes a connection that has been idle for so long.
@@ -70,6 +72,9 @@
 /// the operators' calls.
 const SPARE_SOCKETS: usize = 20 + CALLERS_MAX;
 
+/// The time to ask for the list where the rules name none.
+const ASK_WITHIN: Micros = 10_000_000;
+
 impl Config {
     /// Reads the file that `RELAY_CONFIG` names. The message of an error names the field.
     pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
@@ -108,6 +113,7 @@
         let span = |field: &str| -> Result<Duration, String> {
             Ok(Duration::from_micros(fields.optional::<Micros>(field)?.filter(|n| *n > 0).unwrap_or(250_000)))
         };
+        let ask_within = fields.span_or_zero("rules.askWithinUs")?;
         let sockets = file.limits.sockets;
         if sockets < 2 * SPARE_SOCKETS {
             return Err(format!("configuration: field `limits.sockets`: {sockets} is too few"));
@@ -125,6 +131,10 @@
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("configuration: field `seed`: `{}` is not hexadecimal", file.seed))?,
             known: file.known,
+            ask_within: settings.subscribe.then_some(Duration::from_micros(match ask_within {
+                0 => ASK_WITHIN,
+                told => told,
+            })),
             connect_timeout: span("limits.connectTimeoutUs")?,
             worker_idle: span("limits.connIdleUs")?,
             settings,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -143,16 +143,22 @@
     }
 }
 
-/// How calls for the list are spaced, which all gateways share one discovery for.
+/// How calls for the list are spaced.
 pub struct Pace {
     backoff: Backoff,
     head: Duration,
 }
 
 impl Pace {
-    /// For one of so many gateways; `seed` draws.
-    pub fn new(gateways: u32, seed: u64) -> Pace {
-        Pace { backoff: Backoff::shared(gateways, seed), head: CONNECT.max(IN_LINE * gateways) }
+    /// For an agent of this gateway's own, which is sent the list unasked; `seed` draws.
+    pub fn own(seed: u64) -> Pace {
+        Pace { backoff: Backoff::new(seed), head: CONNECT }
+    }
+
+    /// For one service that so many gateways ask, each within this time.
+    pub fn shared(gateways: u32, within: Duration, seed: u64) -> Pace {
+        let head = CONNECT.max((IN_LINE * gateways).min(within / 2));
+        Pace { backoff: Backoff::shared(gateways, within, seed), head }
     }
 }
 
@@ -275,3 +281,21 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_agent_of_its_own_is_asked_at_once_and_a_shared_service_in_time() {
+        for seed in 0..300 {
+            let mut own = Pace::own(seed);
+            // What it tells counts as told whether it was asked or not.
+            assert!(own.backoff.draw() <= Duration::from_millis(100));
+            assert!(own.head <= Duration::from_secs(1));
+            let within = Duration::from_secs(10);
+            let mut shared = Pace::shared(300, within, seed);
+            assert!(shared.backoff.draw() + shared.head <= within);
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -53,14 +53,15 @@
 
     /// For a peer that takes a try without much work; `seed` draws.
     pub fn new(seed: u64) -> Self {
-        Backoff::shared(1, seed)
+        Backoff::shared(1, Duration::MAX, seed)
     }
 
     /// For a peer of which each try takes work that it does for so many gateways: their tries stay about as
-    /// many in a second, however many they are.
-    pub fn shared(gateways: u32, seed: u64) -> Self {
-        let first = Self::FIRST.max(Self::EACH.0 * gateways);
-        let longest = Self::LONGEST.max(Self::EACH.1 * gateways);
+    /// many in a second, however many they are, as long as the first comes within half of `within` and each
+    /// further one within twice that.
+    pub fn shared(gateways: u32, within: Duration, seed: u64) -> Self {
+        let first = Self::FIRST.max((Self::EACH.0 * gateways).min(within / 4));
+        let longest = Self::LONGEST.max((Self::EACH.1 * gateways).min(within));
         Backoff { first, longest, next: first, rng: fastrand::Rng::with_seed(seed) }
     }
 
@@ -86,11 +87,13 @@
 mod tests {
     use super::*;
 
+    const WITHIN: Duration = Duration::from_secs(10);
+
     /// Tries in each second of a minute, of gateways that lose a peer together and never reach it.
     fn tries(gateways: u32) -> Vec<usize> {
         let mut by_second = vec![0; 60];
         for gateway in 0..gateways {
-            let mut backoff = Backoff::shared(gateways, u64::from(gateway));
+            let mut backoff = Backoff::shared(gateways, WITHIN, u64::from(gateway));
             let mut at = backoff.draw();
             while at < Duration::from_secs(60) {
                 by_second[at.as_secs() as usize] += 1;
@@ -110,6 +113,17 @@
         assert!(few[10..].iter().sum::<usize>() >= 100, "a few may ask once a second each: {few:?}");
     }
 
+    #[test]
+    fn however_many_gateways_each_asks_within_the_time_that_the_rules_leave() {
+        for gateways in [1, 100, 300, 10_000] {
+            for seed in 0..300 {
+                let mut backoff = Backoff::shared(gateways, WITHIN, seed);
+                assert!(backoff.draw() <= WITHIN / 2, "{gateways}");
+                assert!((0..20).all(|_| backoff.draw() <= 2 * WITHIN), "{gateways}");
+            }
+        }
+    }
+
     #[test]
     fn waits_grow_to_a_cap_and_start_again() {
         let mut backoff = Backoff::new(7);
