Follow the list through several sources that may lag, lie or fail

Need: the gatekeeper knows one address of discovery; while that is down, wedged or wrong, so is its list.

`discovery_more` in the configuration names further addresses; without it, and with a list without epochs, all is as before. The door tells the list's version, epoch, age and source.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,10 +4,12 @@
 use hingestage::net::admin::Door;
 use hingestage::net::by_hand::ByHand;
 use hingestage::net::config::Config;
-use hingestage::net::discovery::{follow, Book, Pace};
+use hingestage::net::discovery::{follow, Book};
 use hingestage::net::driver::Driver;
 use hingestage::net::handover::{listen, meeting_place, Upgrade};
 use hingestage::net::server::Server;
+use hingestage::net::sources::Sources;
+use hingestage::net::watch::{Follower, Pace};
 use hingestage::ListScope;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -65,7 +67,7 @@
     let driver = Driver::new(&config);
     let summed = driver.clone();
     let server = Server::new(driver.clone(), &config);
-    let (discovery, agent) = watch::channel(config.discovery);
+    let (discovery, agent) = watch::channel(config.discovery.clone());
     let book = Rc::new(Book::default());
     let by_hand = ByHand::new(driver.clone(), book.clone(), folder.as_deref());
     let limits = (config.clients_max, config.workers_max);
@@ -75,13 +77,13 @@
         spawn_local(Door::new(server.clone(), by_hand).answer_calls(listener));
     }
     book.apply(&driver, &config.known, ListScope::Cached);
-    let pace = match config.ask_within {
-        Some(within) => Pace::shared(config.settings.instances, within, config.seed),
-        None => Pace::own(config.seed),
-    };
+    let pace = if config.settings.subscribe { Pace::shared } else { Pace::own };
+    let pace = pace(config.settings.instances, config.ask_within, config.seed);
+    let follower =
+        Follower::new(Sources::new(config.discovery.clone(), &config.known), pace, driver.listing.clone());
     spawn_local({
         let (driver, server) = (driver.clone(), server.clone());
-        follow(driver, book, agent, (config.known.rev, pace), move || server.set_ready())
+        follow(driver, book, follower, agent, move || server.set_ready())
     });
     if !config.known.targets.is_empty() {
         // The list of before serves well enough until discovery answers, which may take long.
@@ -97,8 +99,8 @@
             while hangup.recv().await.is_some() {
                 match Config::moved(|name| std::env::var(name).ok()) {
                     Ok((at, counter)) => {
-                        eprintln!("hingestage: reloaded: discovery {at}, counter {counter:?}");
-                        discovery.send_if_modified(|known| std::mem::replace(known, at) != at);
+                        eprintln!("hingestage: reloaded: discovery {at:?}, counter {counter:?}");
+                        discovery.send_if_modified(|known| std::mem::replace(known, at.clone()) != at);
                         driver.counter.move_to(counter);
                     }
                     Err(message) => eprintln!("hingestage: not reloaded: {message}"),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,7 +1,8 @@
 //! What the gateway is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
 
 use crate::net::admin::CALLERS_MAX;
-use crate::net::discovery::HostList;
+use crate::net::listing::HostList;
+use crate::net::sources::FURTHER_MAX;
 use crate::settings::{flatten, settings, Fields, Names};
 use crate::{Micros, Settings};
 use serde::Deserialize;
@@ -13,6 +14,8 @@
 struct File {
     listen: Option<String>,
     discovery: Option<String>,
+    #[serde(default)]
+    discovery_more: Vec<String>,
     seed: String,
     limits: FileLimits,
     counter: Option<String>,
@@ -40,8 +43,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where the list of workers comes from.
-    pub discovery: SocketAddr,
+    /// Where the list of workers comes from: the first address, and others with the same list.
+    pub discovery: Vec<SocketAddr>,
     /// The counter, where there is one.
     pub counter: Option<SocketAddr>,
     /// Where operators call; without it there is no door for them.
@@ -60,8 +63,8 @@
     pub workers_max: usize,
     /// Bytes of bodies that may be held, for all requests together: a part of the limit on memory.
     pub held_max: usize,
-    /// Where the list of workers has to be asked for: after so long without it counts as told all the same.
-    pub ask_within: Option<Duration>,
+    /// Where the list of workers has to be asked for, it counts as told after so long all the same.
+    pub ask_within: Duration,
     /// A connection to a worker not established by then never is.
     pub connect_timeout: Duration,
     /// A worker closes a connection that has been idle for so long.
@@ -85,10 +88,10 @@
     /// The file goes before the variable, which is as old as the process.
     pub fn moved(
         variable: impl Fn(&str) -> Option<String>,
-    ) -> Result<(SocketAddr, Option<SocketAddr>), String> {
+    ) -> Result<(Vec<SocketAddr>, Option<SocketAddr>), String> {
         let file = File::load(&variable)?;
-        let discovery = address("discovery", file.discovery.or_else(|| variable("RELAY_DISCOVERY")))?;
-        Ok((discovery, counter(file.counter)?))
+        let first = file.discovery.or_else(|| variable("RELAY_DISCOVERY"));
+        Ok((discovery(first, file.discovery_more)?, counter(file.counter)?))
     }
 
     /// The longest that a client of any class waits.
@@ -125,16 +128,13 @@
         let share = sockets - SPARE_SOCKETS;
         Ok(Config {
             listen: address("listen", variable("RELAY_LISTEN").or(file.listen))?,
-            discovery: address("discovery", variable("RELAY_DISCOVERY").or(file.discovery))?,
+            discovery: discovery(variable("RELAY_DISCOVERY").or(file.discovery), file.discovery_more)?,
             counter: counter(file.counter)?,
             admin: optional("admin_addr", variable("RELAY_ADMIN_ADDR").or(file.admin_addr))?,
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("configuration: field `seed`: `{}` is not hexadecimal", file.seed))?,
             known: file.known,
-            ask_within: settings.subscribe.then_some(Duration::from_micros(match ask_within {
-                0 => ASK_WITHIN,
-                told => told,
-            })),
+            ask_within: Duration::from_micros(if ask_within > 0 { ask_within } else { ASK_WITHIN }),
             connect_timeout: span("limits.connectTimeoutUs")?,
             worker_idle: span("limits.connIdleUs")?,
             settings,
@@ -146,6 +146,21 @@
     }
 }
 
+/// All addresses of the list, each once.
+fn discovery(first: Option<String>, more: Vec<String>) -> Result<Vec<SocketAddr>, String> {
+    if more.len() > FURTHER_MAX {
+        return Err(format!("configuration: field `discovery_more`: more than {FURTHER_MAX} addresses"));
+    }
+    let mut places = vec![address("discovery", first)?];
+    for at in more {
+        let place = address("discovery_more", Some(at))?;
+        if !places.contains(&place) {
+            places.push(place);
+        }
+    }
+    Ok(places)
+}
+
 fn counter(value: Option<String>) -> Result<Option<SocketAddr>, String> {
     optional("counter", value)
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,6 +4,7 @@
 use crate::net::config::Config;
 use crate::net::counter::Counter;
 use crate::net::telemetry::{End, Telemetry};
+use crate::net::watch::Listing;
 use crate::net::workers::{Attempted, Parts, Progress, Workers};
 use crate::{Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Handover, Micros, Outcome, PlanId};
 use crate::{Request, RequestId, WorkerId};
@@ -100,6 +101,8 @@
     pub workers: Workers,
     /// The counter's side.
     pub counter: Counter,
+    /// Where the list of workers stands.
+    pub listing: Rc<Listing>,
     /// What has become of all requests.
     pub telemetry: Rc<Telemetry>,
     /// Room for bodies that are held.
@@ -122,6 +125,7 @@
         let (connect, idle) = (config.connect_timeout, config.worker_idle);
         Rc::new(Driver {
             workers: Workers::new(config.workers_max, (connect, idle), telemetry.calls(), room.clone()),
+            listing: Listing::new(),
             telemetry,
             room,
             counter: Counter::new(config.counter, settings.counter_timeout, config.seed),
@@ -331,7 +335,15 @@
     /// What operators are told when they ask for the figures.
     pub fn report(&self) -> String {
         let down = self.gatekeeper.borrow().workers_avoided(self.clock.now());
-        self.telemetry.report(self.workers.listed(), down)
+        let list = [
+            ("hosts_listed", self.workers.listed() as u64),
+            ("hosts_down", down as u64),
+            ("list_rev", self.listing.rev.get()),
+            ("list_epoch", self.listing.epoch.get()),
+            ("list_age_ms", self.listing.age().as_millis() as u64),
+            ("list_source", self.listing.source.get() as u64),
+        ];
+        self.telemetry.report(&list)
     }
 
     /// Hands what is known over to the next process of this gateway, which takes what comes from now on.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,8 +9,11 @@
 pub mod driver;
 pub mod framing;
 pub mod handover;
+pub mod listing;
 pub mod server;
+pub mod sources;
 pub mod telemetry;
+pub mod watch;
 pub mod wire;
 pub mod workers;
 
--- a/src/net/telemetry.rs
+++ b/src/net/telemetry.rs
@@ -89,8 +89,8 @@
         })
     }
 
-    /// The figures, a line each, with the numbers of servers listed and avoided.
-    pub fn report(&self, listed: usize, down: usize) -> String {
+    /// The figures, a line each, with those of the list of servers.
+    pub fn report(&self, list: &[(&str, u64)]) -> String {
         let mut text = String::new();
         for (name, counts) in &self.classes {
             let ended = counts.get();
@@ -101,13 +101,8 @@
                 let _ = writeln!(text, "app_{figure}{{tier=\"{name}\"}} {count}");
             }
         }
-        let single = [
-            ("backend_calls", self.calls.get()),
-            ("inflight", self.inflight.get()),
-            ("hosts_listed", listed as u64),
-            ("hosts_down", down as u64),
-        ];
-        for (figure, value) in single {
+        let single = [("backend_calls", self.calls.get()), ("inflight", self.inflight.get())];
+        for (figure, value) in single.iter().chain(list) {
             let _ = writeln!(text, "app_{figure} {value}");
         }
         text
@@ -124,7 +119,7 @@
         for figure in ["success", "busy", "failure"] {
             for class in ["a", "b"] {
                 let line = format!("app_{figure}{{tier=\"{class}\"}} 0\n");
-                assert!(telemetry.report(0, 0).contains(&line), "{line}");
+                assert!(telemetry.report(&[]).contains(&line), "{line}");
             }
         }
     }
@@ -137,7 +132,7 @@
             telemetry.ended(1, end);
         }
         telemetry.taken();
-        let report = telemetry.report(4, 2);
+        let report = telemetry.report(&[("hosts_listed", 4), ("hosts_down", 2)]);
         for line in [
             "app_success{tier=\"a\"} 0",
             "app_success{tier=\"b\"} 1",
