Add the list service: leases, versions, watches, guards, and mirrors

Need: the project has only a client of somebody else's discovery.

`hingestage-discovery` keeps the leases of resale servers and tells the list in the platform's form. Each change is on the disk before anybody is told; a torn or corrupt file keeps what came before and begins a new epoch. One ring of changes serves all watchers by their position. Most leases overdue together, a pause of its own, or a lost disk do not empty the list. A mirror follows with the gatekeeper's own client and serves read-only.

--- /dev/null
+++ b/src/bin/hingestage-discovery/main.rs
@@ -0,0 +1,200 @@
+//! The list service: resale servers register in it, gatekeepers watch it. Or a mirror of one.
+#![forbid(unsafe_code)]
+
+mod board;
+mod doors;
+mod http;
+mod registry;
+mod service;
+mod store;
+
+use board::Position;
+use hingestage::net::listing::HostList;
+use hingestage::net::sources::Sources;
+use hingestage::net::watch::{Follower, Listing, Pace};
+use http::Front;
+use lexopt::{Arg, Parser, ValueExt};
+use registry::Registry;
+use service::{unix_ms, Service};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use store::{Store, LOG_MAX};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::{spawn_local, LocalSet};
+
+const USAGE: &str = "hingestage-discovery --listen ADDRESS (--data FOLDER | --mirror-of ADDRESS)
+    [--settle-ms N] [--guard-ms N] [--connections N] [--new]";
+/// Time for servers to register anew where the list was lost.
+const SETTLE_MS: u64 = 10_000;
+/// Time for which most of a fleet stays listed though it is silent.
+const GUARD_MS: u64 = 60_000;
+/// See `GUARD_MS`, `SETTLE_MS`.
+const SPAN_MAX_MS: u64 = 3_600_000;
+/// Connections, in all.
+const CONNECTIONS: usize = 900;
+/// Few enough for any system, and enough to serve at all.
+const CONNECTIONS_RANGE: (usize, usize) = (8, 60_000);
+/// A mirror asks again within this.
+const MIRROR_WITHIN: Duration = Duration::from_secs(2);
+
+/// What the command line says.
+struct Options {
+    listen: SocketAddr,
+    from: From,
+    settle: Duration,
+    guard_ms: u64,
+    connections: usize,
+    /// There never was a list before.
+    new: bool,
+}
+
+enum From {
+    Folder(PathBuf),
+    Other(SocketAddr),
+}
+
+impl Options {
+    fn read(mut words: Parser) -> Result<Options, String> {
+        let (mut listen, mut folder, mut mirror_of, mut new) = (None, None, None, false);
+        let (mut settle_ms, mut guard_ms, mut connections) = (SETTLE_MS, GUARD_MS, CONNECTIONS);
+        while let Some(word) = words.next().map_err(|e| e.to_string())? {
+            let name = match &word {
+                Arg::Long(name) => format!("--{name}"),
+                Arg::Short(name) => format!("-{name}"),
+                Arg::Value(value) => return Err(format!("`{}` is not asked for", value.to_string_lossy())),
+            };
+            let mut value = || words.value().map_err(|e| e.to_string());
+            let bad = |e: lexopt::Error| format!("{name}: {e}");
+            match name.as_str() {
+                "--listen" => listen = Some(value()?.parse().map_err(bad)?),
+                "--data" => folder = Some(PathBuf::from(value()?)),
+                "--mirror-of" => mirror_of = Some(value()?.parse().map_err(bad)?),
+                "--settle-ms" => settle_ms = value()?.parse().map_err(bad)?,
+                "--guard-ms" => guard_ms = value()?.parse().map_err(bad)?,
+                "--connections" => connections = value()?.parse().map_err(bad)?,
+                "--new" => new = true,
+                _ => return Err(format!("{name}: no such option")),
+            }
+        }
+        let from = match (folder, mirror_of) {
+            (Some(folder), None) => From::Folder(folder),
+            (None, Some(at)) => From::Other(at),
+            _ => return Err("one of --data and --mirror-of has to be given".into()),
+        };
+        let listen = listen.ok_or("--listen is missing")?;
+        if settle_ms > SPAN_MAX_MS || guard_ms > SPAN_MAX_MS {
+            return Err(format!("--settle-ms, --guard-ms: at most {SPAN_MAX_MS}"));
+        }
+        let (least, most) = CONNECTIONS_RANGE;
+        if !(least..=most).contains(&connections) {
+            return Err(format!("--connections: from {least} to {most}"));
+        }
+        let settle = Duration::from_millis(if new { 0 } else { settle_ms });
+        Ok(Options { listen, from, settle, guard_ms, connections, new })
+    }
+}
+
+fn main() -> ExitCode {
+    // A service that has lost one of its tasks would go on with half of its work.
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::exit(101);
+    }));
+    let run = || -> Result<(), String> {
+        let options = Options::read(Parser::from_env()).map_err(|e| format!("{e}\n{USAGE}"))?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+        let served = async { spawn_local(serve(options)).await };
+        LocalSet::new().block_on(&runtime, served).map_err(|e| e.to_string())?
+    };
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("hingestage-discovery: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(options: Options) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let opened = match &options.from {
+        From::Folder(folder) => {
+            Some(open(folder, &options).map_err(|e| format!("--data {}: {e}", folder.display()))?)
+        }
+        From::Other(_) => None,
+    };
+    let listener = TcpListener::bind(options.listen).await;
+    let listener = listener.map_err(|e| format!("--listen {}: {e}", options.listen))?;
+    let bound = listener.local_addr().map_err(|e| format!("--listen: {e}"))?;
+    let (service, store) = match (opened, &options.from) {
+        (Some((service, store)), _) => (service, Some(store)),
+        (None, From::Other(at)) => (mirror(*at), None),
+        (None, From::Folder(_)) => return Err("no folder".into()),
+    };
+    let front = Front::new(service.clone(), options.connections);
+    spawn_local(service.clone().look_after_leases());
+    spawn_local(front.accept(listener));
+    eprintln!("hingestage-discovery: listening on {bound}");
+    let kept = async {
+        match store {
+            Some(store) => service.keep_changes(store).await,
+            None => std::future::pending().await,
+        }
+    };
+    // Whoever is told of a change finds it on the disk, so that nothing is left to do at the end.
+    tokio::select! {
+        failed = kept => failed,
+        _ = term.recv() => Ok(()),
+    }
+}
+
+fn open(folder: &std::path::Path, options: &Options) -> std::io::Result<(Rc<Service>, Store)> {
+    let (mut kept, lock) = Store::read(folder)?;
+    let mut settle = Duration::ZERO;
+    let epoch = match kept.epoch.filter(|_| kept.damage.is_none()) {
+        Some(epoch) => epoch,
+        None => {
+            // What was told and is lost here had lower numbers than the clock in ms, and another epoch.
+            let now = unix_ms();
+            let epoch = now.max(kept.epoch.map_or(0, |epoch| epoch + 1));
+            (kept.rev, kept.lease) = (now.max(kept.rev + 1), now.max(kept.lease + 1));
+            if let Some(what) = kept.damage.take() {
+                eprintln!("hingestage-discovery: {what}; {} leases kept", kept.leases.len());
+            }
+            if !options.new {
+                settle = options.settle;
+                let ms = settle.as_millis();
+                eprintln!("hingestage-discovery: a new list begins; it is told in {ms} ms");
+            }
+            epoch
+        }
+    };
+    let leases: Vec<_> = kept.leases.values().cloned().collect();
+    let at = Position { epoch, rev: kept.rev };
+    let registry = Registry::new((kept.rev, kept.lease), leases.iter().cloned(), options.guard_ms, 0);
+    eprintln!("hingestage-discovery: epoch {epoch}, rev {}, {} leases", kept.rev, leases.len());
+    let store = Store::begin(folder, lock, kept, epoch, LOG_MAX)?;
+    Ok((Service::writer(registry, at, &leases, settle), store))
+}
+
+fn mirror(at: SocketAddr) -> Rc<Service> {
+    let listing = Listing::new();
+    let service = Service::mirror(listing.clone());
+    let seed = unix_ms() ^ u64::from(std::process::id()) << 32;
+    let sources = Sources::new(vec![at], &HostList::default());
+    let follower = Follower::new(sources, Pace::shared(1, MIRROR_WITHIN, seed), listing);
+    let hears = service.clone();
+    spawn_local(async move {
+        // The mirrored one's address does not change; the sender stays for as long as it is followed.
+        let (_moves, places) = watch::channel(vec![at]);
+        follower.follow(places, |list, scope| hears.hear(list, scope)).await;
+    });
+    service
+}
