--- a/src/bin/hingestage-discovery/http.rs
+++ b/src/bin/hingestage-discovery/http.rs
@@ -15,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::net::sockopt::set_socket_send_buffer_size;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
@@ -41,6 +42,8 @@
 const BODY_MAX: usize = 4 * 1024;
 /// Time in which a peer has to take something of what it is sent.
 const TAKE_TIME: Duration = Duration::from_secs(5);
+/// What the system holds of what a peer has not taken, bytes; it may double this.
+const SEND_BUFFER: usize = 64 * 1024;
 /// An empty line is due so often.
 const BEAT: Duration = Duration::from_secs(2);
 /// Whole lists being written at once.
@@ -90,6 +93,8 @@
             Admitted::No => return note(&self.odd, "no room for a connection"),
         };
         let _ = stream.set_nodelay(true);
+        // What a watcher doesn't take waits in the system, too; refused, the system's own bound holds.
+        let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER);
         let front = self.clone();
         let task = tokio::task::spawn_local(async move {
             let _leaves = Leaves(front.clone(), number);
@@ -152,6 +157,7 @@
     fn hosts(&self, query: &str) -> Result<Response<Out>, Wrong> {
         let asked = Asked::read(query)?;
         let service = &self.service;
+        count(&service.counts.list_calls);
         service.tells()?;
         let room = self.doors.borrow().has_room_for_lists();
         let take = |taken: &Rc<Cell<usize>>, most| {
--- a/src/bin/hingestage-discovery/main.rs
+++ b/src/bin/hingestage-discovery/main.rs
@@ -27,7 +27,7 @@
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
-const USAGE: &str = "hingestage-discovery --listen ADDRESS (--data FOLDER | --mirror-of ADDRESS)
+const USAGE: &str = "usage: hingestage-discovery --listen ADDRESS (--data FOLDER | --mirror-of ADDRESS)
     [--settle-ms N] [--guard-ms N] [--connections N] [--new]";
 /// Time for servers to register anew where the list was lost.
 const SETTLE_MS: u64 = 10_000;
@@ -59,7 +59,8 @@
 }
 
 impl Options {
-    fn read(mut words: Parser) -> Result<Options, String> {
+    /// Reads the command line; none where only help is asked for.
+    fn read(mut words: Parser) -> Result<Option<Options>, String> {
         let (mut listen, mut folder, mut mirror_of, mut new) = (None, None, None, false);
         let (mut settle_ms, mut guard_ms, mut connections) = (SETTLE_MS, GUARD_MS, CONNECTIONS);
         while let Some(word) = words.next().map_err(|e| e.to_string())? {
@@ -78,6 +79,7 @@
                 "--guard-ms" => guard_ms = value()?.parse().map_err(bad)?,
                 "--connections" => connections = value()?.parse().map_err(bad)?,
                 "--new" => new = true,
+                "--help" | "-h" => return Ok(None),
                 _ => return Err(format!("{name}: no such option")),
             }
         }
@@ -95,7 +97,7 @@
             return Err(format!("--connections: from {least} to {most}"));
         }
         let settle = Duration::from_millis(if new { 0 } else { settle_ms });
-        Ok(Options { listen, from, settle, guard_ms, connections, new })
+        Ok(Some(Options { listen, from, settle, guard_ms, connections, new }))
     }
 }
 
@@ -107,7 +109,10 @@
         std::process::exit(101);
     }));
     let run = || -> Result<(), String> {
-        let options = Options::read(Parser::from_env()).map_err(|e| format!("{e}\n{USAGE}"))?;
+        let Some(options) = Options::read(Parser::from_env())? else {
+            println!("{USAGE}");
+            return Ok(());
+        };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
         let served = async { spawn_local(serve(options)).await };
--- a/src/bin/hingestage-discovery/service.rs
+++ b/src/bin/hingestage-discovery/service.rs
@@ -55,6 +55,8 @@
     pub registrations: Cell<u64>,
     /// Calls that renewed a lease.
     pub renewals: Cell<u64>,
+    /// Calls for lists and watches.
+    pub list_calls: Cell<u64>,
     /// Lists and watches that were refused for want of room.
     pub refused: Cell<u64>,
     /// Watches open now.
@@ -334,6 +336,7 @@
             ("registrations", self.counts.registrations.get()),
             ("renewals", self.counts.renewals.get()),
             ("watches", self.counts.watches.get() as u64),
+            ("list_calls", self.counts.list_calls.get()),
             ("lists_refused", self.counts.refused.get()),
             ("connections", connections as u64),
         ];
