Open few connections to a server at once, and give what comes free to who waits

Need: each attempt without a kept connection opened one of its own, so that after a release or a restart as many handshakes were under way as there were requests; failures were met again by each.

`dials.rs`, without I/O, bounds what is opened at once for each server (this gateway's share of 32 for the fleet, two at least) and in all; the first that waits gets the first that comes free; none is opened for who has gone; from the second failure in a row on, attempts end at once as not connected for a drawn time, until the list tells of another process. Spare connections are kept to the most in use in the last 10 to 20 s. Figures: handshakes begun, failed, waited for, held off.

--- /dev/null
+++ b/src/net/dials.rs
@@ -0,0 +1,327 @@
+//! Connections being opened to workers: how many at once, for whom, and when not. No I/O; time is passed in.
+
+use crate::WorkerId;
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Connections that the whole fleet opens to one worker at once; each gateway has its share.
+const FLEET: usize = 32;
+/// What a gateway may open at once to one worker at least, however many gateways there are.
+const SHARE_LEAST: usize = 2;
+/// What a gateway opens at once to all workers.
+pub const ALL: usize = 64;
+/// Failures in a row after which nothing is opened for a while.
+const IN_A_ROW: u32 = 2;
+/// That while, doubling with each further failure, and its longest.
+const HOLD: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Spare connections are kept to what one or two times this has shown.
+const RECENT: Duration = Duration::from_secs(10);
+
+/// What is to be done for one that asks for a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// It waits, and one is to be opened.
+    Open,
+    /// It waits.
+    Wait,
+    /// None can be had for now.
+    HeldOff,
+}
+
+#[derive(Default)]
+struct Worker {
+    opening: usize,
+    /// Those that wait, the first first.
+    waiting: VecDeque<u64>,
+    failures: u32,
+    held_off: Option<Instant>,
+    /// The most connections in use at once, in this span of time and the one before.
+    most: (usize, usize),
+}
+
+/// What has been done since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Dialed {
+    /// Connections begun.
+    pub begun: u64,
+    /// Of these, not come about.
+    pub failed: u64,
+    /// Attempts that waited for a connection.
+    pub waited: u64,
+    /// Attempts that got none because of failures just before.
+    pub held_off: u64,
+}
+
+/// What is being opened, and who waits for it.
+pub struct Dials {
+    per_worker: usize,
+    workers: HashMap<WorkerId, Worker>,
+    opening: usize,
+    span: Option<Instant>,
+    rng: fastrand::Rng,
+    /// What has been done.
+    pub dialed: Dialed,
+}
+
+impl Dials {
+    /// For one of so many gateways; `seed` draws.
+    pub fn new(gateways: u32, seed: u64) -> Dials {
+        Dials {
+            per_worker: (FLEET / gateways.max(1) as usize).max(SHARE_LEAST),
+            workers: HashMap::new(),
+            opening: 0,
+            span: None,
+            rng: fastrand::Rng::with_seed(seed),
+            dialed: Dialed::default(),
+        }
+    }
+
+    /// Somebody wants a connection to a worker, and there is none to be had at once; `room` says whether the
+    /// worker's limit leaves room for one more.
+    pub fn ask(&mut self, to: WorkerId, number: u64, room: bool, now: Instant) -> Ask {
+        let worker = self.workers.entry(to).or_default();
+        if worker.held_off.is_some_and(|until| now < until) {
+            self.dialed.held_off += 1;
+            return Ask::HeldOff;
+        }
+        worker.waiting.push_back(number);
+        if room && self.open_one(to) {
+            return Ask::Open;
+        }
+        self.dialed.waited += 1;
+        Ask::Wait
+    }
+
+    /// Whether a further connection to a worker is to be opened now, which is then under way.
+    pub fn open_one(&mut self, to: WorkerId) -> bool {
+        let Some(worker) = self.workers.get_mut(&to) else { return false };
+        // After failures one tries for all.
+        let most = if worker.failures >= IN_A_ROW { 1 } else { self.per_worker };
+        if worker.opening >= worker.waiting.len().min(most) || self.opening >= ALL {
+            return false;
+        }
+        worker.opening += 1;
+        self.opening += 1;
+        self.dialed.begun += 1;
+        true
+    }
+
+    /// One has come about, or not; gives those that can't hope for any now.
+    pub fn opened(&mut self, to: WorkerId, is_open: bool, now: Instant) -> Vec<u64> {
+        self.opening -= 1;
+        self.dialed.failed += u64::from(!is_open);
+        let Some(worker) = self.workers.get_mut(&to) else { return Vec::new() };
+        worker.opening = worker.opening.saturating_sub(1);
+        if is_open {
+            (worker.failures, worker.held_off) = (0, None);
+            return Vec::new();
+        }
+        worker.failures += 1;
+        if worker.failures < IN_A_ROW {
+            // This one was opened for the first of them.
+            return worker.waiting.pop_front().into_iter().collect();
+        }
+        let hold = HOLD.0.saturating_mul(1 << (worker.failures - IN_A_ROW).min(10)).min(HOLD.1);
+        worker.held_off = Some(now + hold.mul_f64(0.5 + self.rng.f64()));
+        worker.waiting.drain(..).collect()
+    }
+
+    /// One did not come about for want of room here, which tells nothing of the worker.
+    pub fn no_room(&mut self, to: WorkerId) -> Option<u64> {
+        self.opening -= 1;
+        let worker = self.workers.get_mut(&to)?;
+        worker.opening = worker.opening.saturating_sub(1);
+        worker.waiting.pop_front()
+    }
+
+    /// A connection to a worker is free: who gets it.
+    pub fn first(&mut self, of: WorkerId) -> Option<u64> {
+        self.workers.get_mut(&of)?.waiting.pop_front()
+    }
+
+    /// Somebody waits no more.
+    pub fn leave(&mut self, of: WorkerId, number: u64) {
+        if let Some(worker) = self.workers.get_mut(&of) {
+            worker.waiting.retain(|waits| *waits != number);
+        }
+    }
+
+    /// Workers for which something could be opened now: those under way have become fewer.
+    pub fn wanting(&self) -> Vec<WorkerId> {
+        let wants = self.workers.iter().filter(|(_, worker)| worker.waiting.len() > worker.opening);
+        wants.map(|(to, _)| *to).collect()
+    }
+
+    /// The list tells of another process in this one's place, or of none: gives those that waited for the old.
+    pub fn forget(&mut self, worker: WorkerId) -> Vec<u64> {
+        let waiting = match self.workers.get_mut(&worker) {
+            // What is being opened still counts.
+            Some(known) => {
+                let old = std::mem::take(known);
+                known.opening = old.opening;
+                old.waiting
+            }
+            None => VecDeque::new(),
+        };
+        if self.workers.get(&worker).is_some_and(|known| known.opening == 0) {
+            self.workers.remove(&worker);
+        }
+        waiting.into()
+    }
+
+    /// So many connections to a worker are in use at once.
+    pub fn uses(&mut self, of: WorkerId, n: usize) {
+        let most = &mut self.workers.entry(of).or_default().most;
+        most.0 = most.0.max(n);
+    }
+
+    /// How many connections to a worker recent use has shown to be wanted at once. To be looked at every second.
+    pub fn wanted(&self, of: WorkerId) -> usize {
+        self.workers.get(&of).map_or(0, |worker| worker.most.0.max(worker.most.1))
+    }
+
+    /// Lets what is recent go on.
+    pub fn look(&mut self, now: Instant) {
+        let span = *self.span.get_or_insert(now);
+        if now - span >= RECENT {
+            self.span = Some(now);
+            self.workers.values_mut().for_each(|worker| worker.most = (0, worker.most.0));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const W: WorkerId = WorkerId(1);
+    const NOBODY: [u64; 0] = [];
+
+    #[test]
+    fn few_are_opened_at_once_and_none_for_who_has_gone() {
+        let now = Instant::now();
+        let mut it = Dials::new(300, 7);
+        let asked: Vec<Ask> = (0..6).map(|n| it.ask(W, n, true, now)).collect();
+        assert_eq!(asked, [Ask::Open, Ask::Open, Ask::Wait, Ask::Wait, Ask::Wait, Ask::Wait]);
+        // One that is given back serves the first; the next to come about is the second's.
+        assert_eq!(it.first(W), Some(0));
+        assert_eq!(it.opened(W, true, now), NOBODY);
+        assert_eq!(it.first(W), Some(1));
+        assert!(it.open_one(W));
+        [2, 3, 4].iter().for_each(|n| it.leave(W, *n));
+        assert!(!it.open_one(W), "two are under way for the one that still waits");
+        assert_eq!((it.dialed.begun, it.dialed.waited), (3, 4));
+    }
+
+    #[test]
+    fn all_together_are_bounded_too() {
+        let now = Instant::now();
+        let mut it = Dials::new(1, 7);
+        let opened = (0..10).flat_map(|w| (0..20).map(move |n| (WorkerId(w), w * 20 + n)));
+        let opened = opened.filter(|(w, n)| it.ask(*w, *n, true, now) == Ask::Open).count();
+        assert_eq!(opened, ALL);
+        assert_eq!(it.opened(WorkerId(0), true, now), NOBODY);
+        let wants = it.wanting();
+        assert!(!wants.is_empty() && wants.iter().filter(|w| it.open_one(**w)).count() == 1);
+    }
+
+    #[test]
+    fn one_failure_holds_nobody_off_and_more_in_a_row_do_for_a_drawn_time() {
+        let mut holds = Vec::new();
+        for seed in 0..20 {
+            let mut now = Instant::now();
+            let mut it = Dials::new(300, seed);
+            assert_eq!(it.ask(W, 0, true, now), Ask::Open);
+            assert_eq!(it.ask(W, 1, true, now), Ask::Open);
+            assert_eq!(it.ask(W, 2, true, now), Ask::Wait);
+            assert_eq!(it.opened(W, false, now), [0]);
+            assert_eq!(it.ask(W, 3, true, now), Ask::Open);
+            assert_eq!(it.opened(W, false, now), [1, 2, 3]);
+            assert_eq!(it.ask(W, 4, true, now), Ask::HeldOff);
+            let mut last = Duration::ZERO;
+            for n in 10..20 {
+                let begun = now;
+                while it.ask(W, n, true, now) == Ask::HeldOff {
+                    now += Duration::from_millis(1);
+                }
+                last = now - begun;
+                assert!(last <= HOLD.1.mul_f64(1.5));
+                it.opened(W, false, now);
+            }
+            holds.push(last);
+            assert!(last >= HOLD.1 / 2, "it grows: {last:?}");
+        }
+        holds.dedup();
+        assert!(holds.len() > 10, "not in step: {holds:?}");
+    }
+
+    #[test]
+    fn what_the_list_tells_ends_the_hold() {
+        let now = Instant::now();
+        let mut it = Dials::new(300, 7);
+        for n in 0..2 {
+            it.ask(W, n, true, now);
+            it.opened(W, false, now);
+        }
+        assert_eq!(it.ask(W, 5, true, now), Ask::HeldOff);
+        assert_eq!(it.forget(W), NOBODY);
+        assert_eq!(it.ask(W, 6, true, now), Ask::Open);
+        assert_eq!(it.forget(W), [6], "it waited for the old process");
+        assert_eq!(it.opened(W, true, now), NOBODY);
+        assert!(it.workers.is_empty() || it.opening == 0);
+    }
+
+    #[test]
+    fn spare_connections_are_what_recent_use_has_shown() {
+        let start = Instant::now();
+        let mut it = Dials::new(300, 7);
+        it.look(start);
+        it.uses(W, 5);
+        it.uses(W, 1);
+        assert_eq!(it.wanted(W), 5);
+        it.look(start + RECENT);
+        it.uses(W, 2);
+        assert_eq!(it.wanted(W), 5);
+        it.look(start + 2 * RECENT);
+        assert_eq!(it.wanted(W), 2);
+    }
+
+    /// Anything in any order: bounds hold, and whoever waits is served, told, or has one opened in its worker's
+    /// name, unless the bounds forbid.
+    #[test]
+    fn nobody_waits_without_one_being_opened() {
+        for seed in 0..200 {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let mut it = Dials::new(300, seed);
+            let mut now = Instant::now();
+            for number in 0..500 {
+                now += Duration::from_millis(rng.u64(0..30));
+                let to = WorkerId(rng.u64(0..4));
+                let opening = it.workers.get(&to).map_or(0, |worker| worker.opening);
+                match rng.u32(..6) {
+                    0..=2 => drop(it.ask(to, number, true, now)),
+                    3 if opening > 0 => {
+                        let is_open = rng.bool();
+                        it.opened(to, is_open, now);
+                        if is_open {
+                            it.first(to);
+                        }
+                        while it.open_one(to) {}
+                    }
+                    4 if opening > 0 => {
+                        it.no_room(to);
+                        while it.open_one(to) {}
+                    }
+                    5 => it.leave(to, rng.u64(..number + 1)),
+                    _ => {}
+                }
+                let under_way: usize = it.workers.values().map(|worker| worker.opening).sum();
+                assert_eq!(it.opening, under_way, "seed {seed}");
+                for worker in it.workers.values() {
+                    assert!(worker.opening <= it.per_worker, "seed {seed}");
+                    assert!(worker.waiting.is_empty() || worker.opening > 0, "seed {seed}");
+                }
+            }
+        }
+    }
+}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -98,7 +98,7 @@
 /// The gateway's heart.
 pub struct Driver {
     /// The workers' side.
-    pub workers: Workers,
+    pub workers: Rc<Workers>,
     /// The counter's side.
     pub counter: Counter,
     /// Where the list of workers stands.
@@ -122,9 +122,8 @@
         let settings = config.settings.clone();
         let telemetry = Rc::new(Telemetry::new(&config.names.classes));
         let room = Room::new(config.held_max);
-        let (connect, idle) = (config.connect_timeout, config.worker_idle);
         Rc::new(Driver {
-            workers: Workers::new(config.workers_max, (connect, idle), telemetry.calls(), room.clone()),
+            workers: Workers::new(config, telemetry.calls(), room.clone()),
             listing: Listing::new(),
             telemetry,
             room,
@@ -345,6 +344,7 @@
         ]
         .map(|(name, value)| (name.to_owned(), value))
         .to_vec();
+        more.extend(self.workers.figures());
         more.extend(clients);
         self.telemetry.report(&more)
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod clients;
 pub mod config;
 pub mod counter;
+pub mod dials;
 pub mod discovery;
 pub mod driver;
 pub mod framing;
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -1,10 +1,12 @@
 //! A TCP connection that counts what it has written and can be closed at once from outside.
 
+use crate::net::set_user_timeout;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -36,6 +38,8 @@
     expected: Cell<Option<u64>>,
     whole: Rc<Cell<u64>>,
     driver: RefCell<Option<AbortHandle>>,
+    /// The peer acknowledged nothing for too long.
+    silent: Cell<bool>,
 }
 
 impl Wire {
@@ -47,7 +51,8 @@
     /// Takes a connection in whose requests count in `whole` once they are written.
     pub fn counting(stream: TcpStream, place: Place, whole: Rc<Cell<u64>>) -> Rc<Wire> {
         let (stream, driver) = (RefCell::new(Some((stream, place))), RefCell::default());
-        Rc::new(Wire { stream, written: Cell::new(0), expected: Cell::new(None), whole, driver })
+        let silent = Cell::new(false);
+        Rc::new(Wire { stream, written: Cell::new(0), expected: Cell::new(None), whole, driver, silent })
     }
 
     /// Says that a request begins, which is whole with this many bytes written.
@@ -60,6 +65,18 @@
         *self.driver.borrow_mut() = Some(task);
     }
 
+    /// Has the system end it when nothing is acknowledged for so long.
+    pub fn set_user_timeout(&self, time: Duration, refused: &Cell<u64>) {
+        if let Some((stream, _)) = &*self.stream.borrow() {
+            set_user_timeout(stream, time, refused);
+        }
+    }
+
+    /// Whether it has ended because the peer acknowledged nothing.
+    pub fn is_silent(&self) -> bool {
+        self.silent.get()
+    }
+
     /// Bytes that the system has taken for sending so far.
     pub fn written(&self) -> u64 {
         self.written.get()
@@ -75,10 +92,14 @@
     }
 
     fn poll<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        match self.stream.borrow_mut().as_mut() {
+        let polled = match self.stream.borrow_mut().as_mut() {
             Some((stream, _)) => poll(Pin::new(stream)),
             None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+        };
+        if matches!(&polled, Poll::Ready(Err(e)) if e.kind() == io::ErrorKind::TimedOut) {
+            self.silent.set(true);
         }
+        polled
     }
 
     fn count(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
--- a/src/net/workers.rs
+++ b/src/net/workers.rs
@@ -1,7 +1,9 @@
 //! The workers' side: pooled connections, attempts, and what an attempt's end proves.
 
 use crate::net::body::{self, gather, Broken, Gathered, Outgoing, Room, Upload};
-use crate::net::times::FLOW_STALL;
+use crate::net::config::Config;
+use crate::net::dials::{Ask, Dialed, Dials};
+use crate::net::times::{FLOW_STALL, WORKER_ACK};
 use crate::net::wire::{Place, Wire, WireIo};
 use crate::net::{decimal, note};
 use crate::{Outcome, WorkerId};
@@ -15,6 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, timeout_at, Duration, Instant};
 
 /// The name under which workers serve.
@@ -143,6 +146,10 @@
     wire: Rc<Wire>,
     idle_since: Instant,
     used: bool,
+    /// How long the worker may leave data unacknowledged.
+    ack: Duration,
+    /// Its place among those to its worker.
+    _place: Place,
 }
 
 impl Drop for Conn {
@@ -156,6 +163,43 @@
     boot_ms: u64,
     ready: bool,
     idle: Vec<Conn>,
+    /// How many connections there are, idle or not, those being opened too.
+    open: Rc<Cell<usize>>,
+}
+
+impl Pool {
+    fn in_use(&self) -> usize {
+        self.open.get() - self.idle.len()
+    }
+}
+
+/// What one that waits for a connection gets.
+type Given = Result<Conn, Outcome>;
+
+/// One that waits for a connection. What it was given and has not taken goes to the next.
+struct Waits {
+    workers: Rc<Workers>,
+    worker: WorkerId,
+    number: u64,
+    given: oneshot::Receiver<Given>,
+}
+
+impl Drop for Waits {
+    fn drop(&mut self) {
+        self.workers.waiting.borrow_mut().remove(&self.number);
+        self.workers.dials.borrow_mut().leave(self.worker, self.number);
+        if let Ok(Ok(conn)) = self.given.try_recv() {
+            self.workers.hand_on(self.worker, conn);
+        }
+    }
+}
+
+/// Why a connection has not come about.
+enum Undone {
+    /// There is no room for it here.
+    NoRoom,
+    /// The worker can't be reached.
+    Failed,
 }
 
 /// Connections to all workers.
@@ -165,26 +209,39 @@
     left_out: RefCell<HashSet<WorkerId>>,
     open: Rc<Cell<usize>>,
     most: Cell<usize>,
+    per_worker: usize,
+    dials: RefCell<Dials>,
+    /// Those that wait for a connection, by number.
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Given>>>,
+    next: Cell<u64>,
     connect_timeout: Duration,
     keep_idle: Duration,
     calls: Rc<Cell<u64>>,
     room: Room,
     odd: Cell<u64>,
+    refused: Cell<u64>,
 }
 
 impl Workers {
     /// None known yet. Connections are retired at half the time after which workers close them: a request
     /// that crosses the closing would be a reset, which may have run. `calls` counts requests written whole.
-    pub fn new(
-        most: usize,
-        (connect_timeout, worker_idle): (Duration, Duration),
-        calls: Rc<Cell<u64>>,
-        room: Room,
-    ) -> Self {
-        let (pools, open, keep_idle) = (RefCell::default(), Rc::default(), worker_idle / 2);
-        let most = Cell::new(most);
-        let left_out = RefCell::default();
-        Workers { pools, left_out, open, most, connect_timeout, keep_idle, calls, room, odd: Cell::new(0) }
+    pub fn new(config: &Config, calls: Rc<Cell<u64>>, room: Room) -> Rc<Self> {
+        Rc::new(Workers {
+            pools: RefCell::default(),
+            left_out: RefCell::default(),
+            open: Rc::default(),
+            most: Cell::new(config.workers_max),
+            per_worker: config.per_worker_max,
+            dials: RefCell::new(Dials::new(config.settings.instances, config.seed)),
+            waiting: RefCell::default(),
+            next: Cell::new(0),
+            connect_timeout: config.connect_timeout,
+            keep_idle: config.worker_idle / 2,
+            calls,
+            room,
+            odd: Cell::new(0),
+            refused: Cell::new(0),
+        })
     }
 
     /// Notes where a worker is, when it started and whether it takes work. Idle connections to one that does
@@ -192,21 +249,35 @@
     /// unsafe one would then be failed for nothing.
     pub fn list(&self, id: WorkerId, addr: SocketAddr, boot_ms: u64, ready: bool) {
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.entry(id).or_insert_with(|| Pool { addr, boot_ms, ready, idle: Vec::new() });
-        if (pool.addr, pool.boot_ms) != (addr, boot_ms) || !ready {
+        let new = || Pool { addr, boot_ms, ready, idle: Vec::new(), open: Rc::default() };
+        let pool = pools.entry(id).or_insert_with(new);
+        let other = (pool.addr, pool.boot_ms) != (addr, boot_ms);
+        if other || !ready {
             pool.idle.clear();
         }
         (pool.addr, pool.boot_ms, pool.ready) = (addr, boot_ms, ready);
+        drop(pools);
+        if other {
+            self.forget(id);
+        }
+    }
+
+    /// Nothing that was learned of opening connections to a worker holds any more.
+    fn forget(&self, id: WorkerId) {
+        let waited = self.dials.borrow_mut().forget(id);
+        waited.into_iter().for_each(|number| drop(self.give(number, Err(Outcome::NotSent))));
     }
 
     /// Forgets a worker.
     pub fn unlist(&self, id: WorkerId) {
         self.pools.borrow_mut().remove(&id);
+        self.forget(id);
     }
 
     /// Forgets all workers but these.
     pub fn keep_only(&self, named: &HashSet<WorkerId>) {
-        self.pools.borrow_mut().retain(|id, _| named.contains(id));
+        let others = self.pools.borrow().keys().filter(|id| !named.contains(id)).copied().collect::<Vec<_>>();
+        others.into_iter().for_each(|id| self.unlist(id));
     }
 
     /// Whether the list names this worker, or it is left out by hand.
@@ -249,16 +320,36 @@
         listed && !self.left_out.borrow().contains(&id)
     }
 
-    /// Closes connections that have been idle for long.
+    /// Closes connections that have been idle for long, or that recent use does not want.
     pub fn retire_idle(&self) {
-        for pool in self.pools.borrow_mut().values_mut() {
+        let mut dials = self.dials.borrow_mut();
+        dials.look(now());
+        for (id, pool) in self.pools.borrow_mut().iter_mut() {
             pool.idle.retain(|conn| conn.idle_since.elapsed() < self.keep_idle && !conn.sender.is_closed());
+            let spare = dials.wanted(*id).saturating_sub(pool.in_use());
+            pool.idle.drain(..pool.idle.len().saturating_sub(spare));
         }
     }
 
+    /// The figures of connections to workers.
+    pub fn figures(&self) -> Vec<(String, u64)> {
+        let idle: usize = self.pools.borrow().values().map(|pool| pool.idle.len()).sum();
+        let Dialed { begun, failed, waited, held_off } = self.dials.borrow().dialed;
+        [
+            ("server_connections", self.open.get() as u64),
+            ("server_connections_idle", idle as u64),
+            ("handshakes", begun),
+            ("handshakes_failed", failed),
+            ("handshakes_waited_for", waited),
+            ("handshakes_held_off", held_off),
+        ]
+        .map(|(name, value)| (name.to_owned(), value))
+        .to_vec()
+    }
+
     /// Sends a request once and waits for its answer: the whole of a short one, the beginning of a long one.
     pub async fn attempt(
-        &self,
+        self: &Rc<Self>,
         worker: WorkerId,
         parts: &Parts,
         time: Duration,
@@ -277,6 +368,10 @@
             if !self.takes_work(worker) {
                 return Outcome::NotSent.into();
             }
+            let ack = if parts.upload().is_some() { FLOW_STALL } else { WORKER_ACK };
+            if std::mem::replace(&mut conn.ack, ack) != ack {
+                conn.wire.set_user_timeout(ack, &self.refused);
+            }
             progress.begin(&conn.wire, parts);
             let ended = tokio::select! {
                 ended = exchange(&mut conn.sender, parts, deadline, &self.room) => Some(ended),
@@ -286,6 +381,10 @@
                 return self.judge(answer, conn);
             }
             let (used, whole) = (conn.used, progress.give_up());
+            if conn.wire.is_silent() {
+                // The others lead to the same machine.
+                self.pools.borrow_mut().entry(worker).and_modify(|pool| pool.idle.clear());
+            }
             drop(conn);
             match ended {
                 // A kept connection turned out to be closed before anything was written: that was no attempt.
@@ -302,60 +401,166 @@
     }
 
     /// Takes a connection back once it is ready for another request.
-    pub async fn give_back(&self, worker: WorkerId, attempted: Attempted) {
-        let Some(mut conn) = attempted.conn else { return };
+    pub async fn give_back(self: &Rc<Self>, worker: WorkerId, attempted: Attempted) {
+        let Some(mut conn) = attempted.conn else {
+            // One has ended, and others may be opened in its place.
+            return self.open_wanted();
+        };
         if !matches!(timeout(SETTLE, conn.sender.ready()).await, Ok(Ok(()))) {
             return;
         }
-        (conn.idle_since, conn.used) = (Instant::now(), true);
+        conn.used = true;
+        self.hand_on(worker, conn);
+    }
+
+    /// A connection is free: the first that waits gets it, or it is kept.
+    fn hand_on(&self, worker: WorkerId, mut conn: Conn) {
         if !self.takes_work(worker) {
             return;
         }
+        loop {
+            let Some(number) = self.dials.borrow_mut().first(worker) else { break };
+            match self.give(number, Ok(conn)) {
+                Some(Ok(back)) => conn = back,
+                _ => return,
+            }
+        }
         if let Some(pool) = self.pools.borrow_mut().get_mut(&worker) {
             if pool.idle.len() < IDLE_MAX {
+                (conn.idle_since, conn.used) = (Instant::now(), true);
                 pool.idle.push(conn);
             }
         }
     }
 
-    /// A kept connection, the last used first, or a new one.
-    async fn connection(&self, worker: WorkerId, deadline: Instant) -> Result<Conn, Outcome> {
+    /// Gives one that waits what it waits for; what it does not take comes back.
+    fn give(&self, number: u64, given: Given) -> Option<Given> {
+        let waits = self.waiting.borrow_mut().remove(&number);
+        match waits {
+            Some(waits) => waits.send(given).err(),
+            None => Some(given),
+        }
+    }
+
+    /// A kept connection, the last used first.
+    fn kept(&self, worker: WorkerId) -> Option<Conn> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.get_mut(&worker)?;
+        while let Some(conn) = pool.idle.pop() {
+            if conn.idle_since.elapsed() < self.keep_idle && conn.sender.is_ready() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    /// A kept connection, or the first that comes free: one that is given back, or a new one.
+    async fn connection(self: &Rc<Self>, worker: WorkerId, deadline: Instant) -> Result<Conn, Outcome> {
         if !self.takes_work(worker) {
             return Err(Outcome::NotSent);
         }
-        let addr = {
-            let mut pools = self.pools.borrow_mut();
-            let pool = pools.get_mut(&worker).ok_or(Outcome::NotSent)?;
-            while let Some(conn) = pool.idle.pop() {
-                if conn.idle_since.elapsed() < self.keep_idle && conn.sender.is_ready() {
-                    return Ok(conn);
-                }
+        let given = match self.kept(worker) {
+            Some(conn) => Ok(conn),
+            None => self.wait_for_one(worker, deadline).await,
+        };
+        if let Some(pool) = self.pools.borrow().get(&worker) {
+            self.dials.borrow_mut().uses(worker, pool.in_use());
+        }
+        given
+    }
+
+    async fn wait_for_one(self: &Rc<Self>, worker: WorkerId, deadline: Instant) -> Given {
+        self.next.set(self.next.get() + 1);
+        let number = self.next.get();
+        let ask = self.dials.borrow_mut().ask(worker, number, self.may_open(worker), now());
+        if ask == Ask::HeldOff {
+            return Err(Outcome::ConnectFailed);
+        }
+        let (give, given) = oneshot::channel();
+        self.waiting.borrow_mut().insert(number, give);
+        let mut waits = Waits { workers: self.clone(), worker, number, given };
+        if ask == Ask::Open {
+            self.begin_one(worker);
+        }
+        // A machine that is cut off says nothing: the time-out is ours.
+        let until = deadline.min(Instant::now() + self.connect_timeout);
+        match timeout_at(until, &mut waits.given).await {
+            Ok(Ok(given)) => given,
+            Ok(Err(_)) => Err(Outcome::NotSent),
+            Err(_) => Err(Outcome::ConnectFailed),
+        }
+    }
+
+    /// Opens a connection for whoever waits the longest by then.
+    fn begin_one(self: &Rc<Self>, worker: WorkerId) {
+        let place =
+            self.pools.borrow().get(&worker).and_then(|pool| Place::take(&pool.open, self.per_worker));
+        let this = self.clone();
+        tokio::task::spawn_local(async move {
+            let opened = this.dial(worker, place).await;
+            let lost = match &opened {
+                Ok(_) => this.dials.borrow_mut().opened(worker, true, now()),
+                Err(Undone::Failed) => this.dials.borrow_mut().opened(worker, false, now()),
+                Err(Undone::NoRoom) => this.dials.borrow_mut().no_room(worker).into_iter().collect(),
+            };
+            let why = match &opened {
+                Err(Undone::NoRoom) => Outcome::NotSent,
+                _ => Outcome::ConnectFailed,
+            };
+            lost.into_iter().for_each(|number| drop(this.give(number, Err(why))));
+            if let Ok(conn) = opened {
+                this.hand_on(worker, conn);
+            }
+            this.open_wanted();
+        });
+    }
+
+    /// Opens what those that wait need, as far as the bounds let it.
+    fn open_wanted(self: &Rc<Self>) {
+        let wanting = self.dials.borrow().wanting();
+        for worker in wanting {
+            while self.may_open(worker) && self.dials.borrow_mut().open_one(worker) {
+                self.begin_one(worker);
             }
-            pool.addr
+        }
+    }
+
+    /// Whether a worker's limit leaves room for a further connection.
+    fn may_open(&self, worker: WorkerId) -> bool {
+        self.pools.borrow().get(&worker).is_some_and(|pool| pool.open.get() < self.per_worker)
+    }
+
+    async fn dial(&self, worker: WorkerId, to_it: Option<Place>) -> Result<Conn, Undone> {
+        let (addr, boot_ms) = {
+            let pools = self.pools.borrow();
+            let pool = pools.get(&worker).ok_or(Undone::NoRoom)?;
+            (pool.addr, pool.boot_ms)
         };
+        let to_it = to_it.ok_or(Undone::NoRoom)?;
         let place = Place::take(&self.open, self.most.get()).or_else(|| {
             self.close_an_idle_one();
             Place::take(&self.open, self.most.get())
         });
-        let place = place.ok_or(Outcome::NotSent)?;
-        // A machine that is cut off says nothing: the time-out is ours.
-        let until = deadline.min(Instant::now() + self.connect_timeout);
-        let connected = timeout_at(until, TcpStream::connect(addr)).await;
-        let Ok(Ok(stream)) = connected else { return Err(Outcome::ConnectFailed) };
+        let place = place.ok_or(Undone::NoRoom)?;
+        let connected = timeout(self.connect_timeout, TcpStream::connect(addr)).await;
+        let Ok(Ok(stream)) = connected else { return Err(Undone::Failed) };
+        let is_there = |pool: &Pool| (pool.addr, pool.boot_ms) == (addr, boot_ms);
+        if !self.pools.borrow().get(&worker).is_some_and(is_there) {
+            // It leads to a former life of the worker.
+            return Err(Undone::NoRoom);
+        }
         let _ = stream.set_nodelay(true);
         let wire = Wire::counting(stream, place, self.calls.clone());
         let io = TokioIo::new(WireIo(wire.clone()));
-        let (sender, driver) = http1::Builder::new()
-            .max_buf_size(BUFFER_MAX)
-            .handshake(io)
-            .await
-            .map_err(|_| Outcome::ConnectFailed)?;
+        let built = http1::Builder::new().max_buf_size(BUFFER_MAX).handshake(io).await;
+        let (sender, driver) = built.map_err(|_| Undone::Failed)?;
         let task = tokio::task::spawn_local(async move {
             // How it ends is told to the attempt that it carries.
             let _ = driver.await;
         });
         wire.driven_by(task.abort_handle());
-        Ok(Conn { sender, wire, idle_since: Instant::now(), used: false })
+        let (idle_since, ack) = (Instant::now(), Duration::ZERO);
+        Ok(Conn { sender, wire, idle_since, used: false, ack, _place: to_it })
     }
 
     fn close_an_idle_one(&self) {
@@ -383,6 +588,10 @@
     }
 }
 
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
+
 type Answer = (StatusCode, HeaderMap, Gathered);
 
 /// Returns when an attempt has had its time, which begins with the request's last byte; before that, when
--- /dev/null
+++ b/tests/connections.rs
@@ -0,0 +1,240 @@
+//! Whose connections stay, and how many are opened: crowds, drips, rushes, lost descriptors.
+
+mod peers;
+
+use peers::*;
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use std::net::Shutdown;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const GREEDY: [u8; 4] = [127, 0, 0, 2];
+
+/// A configuration with a door, one worker and few descriptors.
+fn small(worker: &Worker, discovery: &Discovery) -> Value {
+    discovery.list(2, true, &[worker.listed("w0", "up")]);
+    let mut config = config_with_door(discovery.addr);
+    config["limits"]["sockets"] = 100.into();
+    config
+}
+
+fn figure(gateway: &Gateway, name: &str) -> u64 {
+    let told = gateway.call("telemetry");
+    let value = told.lines().find_map(|line| line.strip_prefix(&format!("app_{name} ")));
+    value.unwrap_or_else(|| panic!("no {name} in {told}")).parse().unwrap()
+}
+
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < end, "never: {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Another source opens connection after connection and says this on each; how many of 60 requests of a quiet
+/// source are served, half of them on connections of their own.
+fn served_beside(flood: &'static str) -> usize {
+    let (worker, discovery) = (Worker::start(ok("served")), Discovery::start());
+    let gateway = Arc::new(Gateway::ready(&small(&worker, &discovery)));
+    let (goes_on, opened) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicUsize::new(0)));
+    let floods: Vec<_> = (0..8)
+        .map(|_| {
+            let (gateway, goes_on, opened) = (gateway.clone(), goes_on.clone(), opened.clone());
+            thread::spawn(move || {
+                let mut held = Vec::new();
+                while goes_on.load(Ordering::SeqCst) {
+                    if let Some(mut client) = gateway.connect_from(GREEDY) {
+                        client.try_send(flood);
+                        held.push(client);
+                        opened.fetch_add(1, Ordering::SeqCst);
+                    }
+                    if held.len() > 400 {
+                        held.remove(0);
+                    }
+                    thread::sleep(Duration::from_millis(1));
+                }
+            })
+        })
+        .collect();
+    until("the flood is there", || opened.load(Ordering::SeqCst) > 300);
+    let mut quiet = gateway.connect();
+    let mut served = 0;
+    for n in 0..60 {
+        let begun = Instant::now();
+        // Half of them on a connection that is kept.
+        let answer = if n % 2 == 0 {
+            let mut client = gateway.connect();
+            client.try_send(&pull().text());
+            client.answer()
+        } else {
+            quiet.try_send(&pull().text());
+            let answer = quiet.answer();
+            if answer.is_none() {
+                quiet = gateway.connect();
+            }
+            answer
+        };
+        let in_time = begun.elapsed() < PATIENCE / 4;
+        served += usize::from(in_time && answer.is_some_and(|answer| answer.status() == 200));
+    }
+    goes_on.store(false, Ordering::SeqCst);
+    floods.into_iter().for_each(|flood| flood.join().unwrap());
+    served
+}
+
+#[test]
+fn a_quiet_source_is_served_beside_one_that_opens_thousands() {
+    let served = [("idle", ""), ("dripping", "GET /pu"), ("garbage", "\u{16}\u{3}\u{1}")]
+        .map(|(name, flood)| (name, served_beside(flood)));
+    println!("served of 60 requests of a quiet source, by what another one floods with: {served:?}");
+    assert!(served.iter().all(|(_, served)| *served >= 45), "{served:?}");
+}
+
+#[test]
+fn a_rush_opens_few_connections_and_those_that_come_free_serve() {
+    let (worker, discovery) = (Worker::start(ok("served")), Discovery::start());
+    let mut config = small(&worker, &discovery);
+    config["settings"]["instances"] = 4.into();
+    config["limits"]["sockets"] = 1024.into();
+    let gateway = Arc::new(Gateway::ready(&config));
+    let clients: Vec<_> = (0..40)
+        .map(|_| {
+            let gateway = gateway.clone();
+            thread::spawn(move || gateway.ask(&pull().text()).status())
+        })
+        .collect();
+    let answers: Vec<u16> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    assert!(answers.iter().all(|status| [200, 429].contains(status)), "{answers:?}");
+    let served = answers.iter().filter(|status| **status == 200).count();
+    let conns: BTreeSet<usize> = worker
+        .rest()
+        .iter()
+        .filter_map(|seen| match seen {
+            Seen::Request { conn, .. } => Some(*conn),
+            Seen::Closed { .. } => None,
+        })
+        .collect();
+    println!("{served} served of 40 at once, over {} connections", conns.len());
+    assert!(served >= 20 && conns.len() <= 12, "{} connections for {served}", conns.len());
+    assert_eq!(figure(&gateway, "handshakes_failed"), 0);
+    assert!(figure(&gateway, "handshakes") <= served as u64);
+}
+
+#[test]
+fn a_worker_that_refuses_is_not_called_again_and_again() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = gone.local_addr().unwrap();
+    drop(gone);
+    let (worker, discovery) = (Worker::start(ok("served")), Discovery::start());
+    let mut config = small(&worker, &discovery);
+    config["settings"]["instances"] = 300.into();
+    let mut refuses = worker.listed("w0", "up");
+    refuses["endpoint"] = addr.to_string().into();
+    discovery.list(3, true, &[refuses]);
+    let gateway = Gateway::ready(&config);
+    until("the list is known", || figure(&gateway, "list_rev") == 3);
+    let mut client = gateway.connect();
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(2) {
+        assert!([429, 502, 503].contains(&client.ask(&pull().text()).status()));
+    }
+    let (begun, failed) = (figure(&gateway, "handshakes"), figure(&gateway, "handshakes_failed"));
+    assert!(begun == failed && begun <= 40, "{begun} connections begun to a server that refuses them");
+}
+
+#[test]
+fn half_a_close_gets_its_answer_where_the_configuration_says_so() {
+    for half_close in [true, false] {
+        let (worker, discovery) = (Worker::start(ok("served")), Discovery::start());
+        let mut config = small(&worker, &discovery);
+        config["connections"] = json!({"half_close": half_close});
+        let gateway = Gateway::ready(&config);
+        let mut stream = gateway.connect().into_stream();
+        std::io::Write::write_all(&mut stream, pull().text().as_bytes()).unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
+        let answer = Message::read(&mut std::io::BufReader::new(stream));
+        if half_close {
+            assert_eq!(answer.expect("an answer").body, "served");
+        }
+    }
+}
+
+#[test]
+fn a_source_has_its_limit_and_a_connection_its_age() {
+    let (worker, discovery) = (Worker::start(ok("served")), Discovery::start());
+    let mut config = small(&worker, &discovery);
+    config["connections"] = json!({"per_source": 5, "max_age_ms": 1_000});
+    let gateway = Gateway::ready(&config);
+    let many: Vec<_> = (0..12).filter_map(|_| gateway.connect_from(GREEDY)).collect();
+    until("they are there", || figure(&gateway, "client_source_most") >= 5);
+    assert_eq!(figure(&gateway, "client_source_most"), 5);
+    let mut old = gateway.connect();
+    assert_eq!(old.ask(&pull().text()).status(), 200);
+    drop(many);
+    assert!(old.answer().is_none(), "it ends between two requests");
+    until("for its age", || figure(&gateway, "clients_closed{reason=\"age\"}") > 0);
+}
+
+#[test]
+fn without_descriptors_the_door_stays_open_and_service_goes_on() {
+    let (worker, discovery) = (Worker::start(ok("served")), Discovery::start());
+    let mut config = small(&worker, &discovery);
+    config["limits"]["sockets"] = 1024.into();
+    let gateway = Gateway::start_with_descriptors(&config, 40).until_ready();
+    let mut crowd = Vec::new();
+    for _ in 0..100 {
+        if let Some(mut client) = gateway.connect_from(GREEDY) {
+            client.try_send(&pull().text());
+            crowd.push(client);
+        }
+    }
+    for _ in 0..5 {
+        assert!(gateway.call("readyz").starts_with("YES"));
+        thread::sleep(Duration::from_millis(100));
+    }
+    drop(crowd);
+    until("it serves again", || {
+        let mut client = gateway.connect();
+        client.try_send(&pull().text());
+        client.answer().is_some_and(|answer| answer.status() == 200)
+    });
+}
+
+#[test]
+fn each_end_has_its_reason_in_the_figures() {
+    let (worker, discovery) = (Worker::start(ok("served")), Discovery::start());
+    let gateway = Gateway::ready(&small(&worker, &discovery));
+    let (_silent, mut half, mut further) = (gateway.connect(), gateway.connect(), gateway.connect());
+    half.try_send("GET /");
+    assert_eq!(further.ask(&pull().text()).status(), 200);
+    further.try_send("GET /");
+    until("first requests are late", || figure(&gateway, "clients_closed{reason=\"first\"}") == 2);
+    until("so is a further head", || figure(&gateway, "clients_closed{reason=\"head\"}") == 1);
+    assert_eq!(figure(&gateway, "server_connections"), 1);
+    assert_eq!(figure(&gateway, "clients{state=\"busy\"}"), 0);
+}
+
+/// Measures: `cargo test --release --test connections -- --ignored --nocapture`.
+#[test]
+#[ignore]
+fn memory_of_an_idle_connection() {
+    let (worker, discovery) = (Worker::start(ok("served")), Discovery::start());
+    let mut config = small(&worker, &discovery);
+    config["limits"]["sockets"] = 4_096.into();
+    let gateway = Gateway::ready(&config);
+    let mut idle = Vec::new();
+    let mut memory = Vec::new();
+    for _ in 0..4 {
+        for _ in 0..400 {
+            let mut client = gateway.connect();
+            assert_eq!(client.ask(&pull().text()).status(), 200);
+            idle.push(client);
+        }
+        memory.push(gateway.most_memory());
+    }
+    println!("bytes for each further idle connection: {}", (memory[3] - memory[0]) / 1_200);
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -343,9 +343,12 @@
 }
 
 fn spawn(config: &str, folder: &Folder) -> Child {
+    spawn_by(Command::new(env!("CARGO_BIN_EXE_hingestage")), config, folder)
+}
+
+fn spawn_by(mut command: Command, config: &str, folder: &Folder) -> Child {
     let path = folder.0.join("config.json");
     std::fs::write(&path, config).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_hingestage"));
     for variable in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_ADMIN_ADDR"] {
         command.env_remove(variable);
     }
@@ -387,7 +390,21 @@
     }
 
     pub fn start_in(folder: Arc<Folder>, config: &Value) -> Gateway {
-        let mut child = spawn(&config.to_string(), &folder);
+        let child = spawn(&config.to_string(), &folder);
+        Gateway::of(child, folder, config)
+    }
+
+    /// One whose system gives it only so many descriptors, whatever its configuration says.
+    pub fn start_with_descriptors(config: &Value, descriptors: usize) -> Gateway {
+        let folder = folder();
+        let mut command = Command::new("/bin/sh");
+        let limited = format!("ulimit -n {descriptors}; exec \"$0\"");
+        command.args(["-c", &limited, env!("CARGO_BIN_EXE_hingestage")]);
+        let child = spawn_by(command, &config.to_string(), &folder);
+        Gateway::of(child, folder, config)
+    }
+
+    fn of(mut child: Child, folder: Arc<Folder>, config: &Value) -> Gateway {
         let mut log = BufReader::new(child.stderr.take().unwrap());
         // The first lines that end with an address, which tell where it can be reached.
         let mut address = || -> SocketAddr {
@@ -411,7 +428,11 @@
 
     /// Starts and waits until requests can be served.
     pub fn ready(config: &Value) -> Gateway {
-        let gateway = Gateway::start(config);
+        Gateway::start(config).until_ready()
+    }
+
+    pub fn until_ready(self) -> Gateway {
+        let gateway = self;
         let until = Instant::now() + PATIENCE;
         while gateway.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
             assert!(Instant::now() < until, "never ready");
@@ -446,6 +467,20 @@
         Some(Client { reader: BufReader::new(stream.try_clone().unwrap()), stream })
     }
 
+    /// A connection from another address of this machine.
+    pub fn connect_from(&self, source: [u8; 4]) -> Option<Client> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let stream = runtime.block_on(async {
+            let socket = tokio::net::TcpSocket::new_v4()?;
+            socket.bind((source, 0).into())?;
+            socket.connect(self.addr).await?.into_std()
+        });
+        let stream = stream.ok()?;
+        stream.set_nonblocking(false).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Some(Client { reader: BufReader::new(stream.try_clone().unwrap()), stream })
+    }
+
     /// One exchange on a connection of its own.
     pub fn ask(&self, request: &str) -> Message {
         self.connect().ask(request)
