--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -473,7 +473,9 @@
         let stream = runtime.block_on(async {
             let socket = tokio::net::TcpSocket::new_v4()?;
             socket.bind((source, 0).into())?;
-            socket.connect(self.addr).await?.into_std()
+            // A full queue would hold the caller up for minutes.
+            let connected = tokio::time::timeout(PATIENCE / 10, socket.connect(self.addr)).await;
+            connected.map_err(std::io::Error::other)??.into_std()
         });
         let stream = stream.ok()?;
         stream.set_nonblocking(false).unwrap();
