--- a/src/bin/hingestage-discovery/board.rs
+++ b/src/bin/hingestage-discovery/board.rs
@@ -327,5 +327,9 @@
         let mut at = Position { epoch: 9, rev: 0 };
         let line: HostList = serde_json::from_slice(&board.next(&mut at).unwrap()).unwrap();
         assert!(line.all && line.targets.len() == 2);
+        // The same version of another list is not this one.
+        let mut at = Position { epoch: 8, rev: 5 };
+        let line: HostList = serde_json::from_slice(&board.next(&mut at).unwrap()).unwrap();
+        assert!(line.all && at == board.at());
     }
 }
