Give the project a house: a workspace of crates by meaning, the decisions in a file for each rule

Change: crates `decisions`, `base`, `list`, `gatekeeper` (by sides), `list-service`, `simwire`; the programs `granitelead`, `granitelead-adapter`, `granitelead-discovery` stand in one package, so that tests of several find them built. Counter and driver no longer import each other.

--- a/src/net/mod.rs
+++ b/crates/base/src/lib.rs
@@ -1,34 +1,12 @@
-//! The gateway on real sockets: carries events to the one [`crate::Gatekeeper`] and its actions out.
-
-pub mod admin;
-pub mod body;
-pub mod by_hand;
-pub mod clients;
-pub mod config;
-pub mod counter;
-pub mod dials;
-pub mod discovery;
-pub mod driver;
-pub mod framing;
-pub mod handover;
-pub mod listing;
-pub mod server;
-pub mod sources;
-pub mod telemetry;
-pub mod times;
-pub mod turns;
-pub mod watch;
+//! What every program of the project stands on: its start, its log, waits between tries, connections to others.
+
 pub mod wire;
-pub mod workers;
 
 use std::future::Future;
 use std::process::ExitCode;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::Duration;
 
-/// The longest body of a request, in bytes: longer than anything that is sent in a client's time.
-pub const BODY_MAX: u64 = 1 << 30;
-
 /// Pause where the system has no descriptor left for a new connection.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -69,7 +47,7 @@
 pub fn set_user_timeout(stream: &tokio::net::TcpStream, time: Duration, refused: &std::cell::Cell<u64>) {
     if let Err(e) = rustix::net::sockopt::set_tcp_user_timeout(stream, time.as_millis() as u32) {
         if refused.replace(1) == 0 {
-            eprintln!("hingestage: no limit on data that is not acknowledged: {e}");
+            eprintln!("granitelead: no limit on data that is not acknowledged: {e}");
         }
     }
 }
@@ -78,7 +56,7 @@
 pub fn note(count: &std::cell::Cell<u64>, what: impl std::fmt::Display) {
     count.set(count.get() + 1);
     if count.get().is_power_of_two() {
-        eprintln!("hingestage: {what} (time {})", count.get());
+        eprintln!("granitelead: {what} (time {})", count.get());
     }
 }
 
--- a/src/net/wire.rs
+++ b/crates/base/src/wire.rs
@@ -1,6 +1,6 @@
 //! A TCP connection that counts what it has written and can be closed at once from outside.
 
-use crate::net::set_user_timeout;
+use crate::set_user_timeout;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
--- /dev/null
+++ b/crates/decisions/src/gatekeeper/guards.rs
@@ -0,0 +1,36 @@
+//! What each send must pass: the request's end, repeats by effect, drains, cold servers, ceilings.
+use super::*;
+
+/// Safety kept at the end of a key window, µs.
+const KEY_MARGIN: Micros = 50_000;
+
+impl Gatekeeper {
+    /// Whether a request may go to a worker now, as far as any rule is concerned.
+    pub(super) fn may_send(&self, r: &Open, w: &Worker) -> bool {
+        let again = !r.attempts.is_empty();
+        let tries_left = r.attempts.len() < self.set.limits.max_attempts && !(again && r.spent);
+        let over = r.closed || r.streaming || (self.now >= r.deadline && !r.uploading);
+        let second = r.attempts.iter().any(|a| a.out) && !self.set.limits.second_copies;
+        let listed = w.info.availability == Availability::Ready && !self.left_out.contains_key(&w.info.id);
+        if over || !tries_left || second || !listed {
+            return false;
+        }
+        if self.coldness(w, self.now) < 1.0 && (self.retired || self.credit(w) < 1.0) {
+            return false;
+        }
+        let mut ran = r.attempts.iter().filter(|a| a.may_have_run).peekable();
+        let effect_ok = match (r.class.effect, ran.peek()) {
+            (_, None) | (Effect::Idempotent, _) => true,
+            (Effect::AtMostOnce, Some(_)) => false,
+            (Effect::Deduplicated, Some(first)) => {
+                self.now + KEY_MARGIN < first.sent + r.class.key_window
+                    && ran.all(|a| match r.class.group {
+                        DedupGroup::All => true,
+                        DedupGroup::Zone => a.zone == w.info.zone,
+                        DedupGroup::Cell => a.zone == w.info.zone && a.cell == w.info.cell,
+                    })
+            }
+        };
+        effect_ok && (again || self.ceiling_allows(r))
+    }
+}
--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,7 +5,7 @@
 //! the counter service that the actions address. `docs/design.md` explains the mechanism.
 //!
 //! ```
-//! use hingestage::*;
+//! use granitelead_decisions::*;
 //!
 //! let settings = Settings {
 //!     instances: 2,
@@ -41,15 +41,12 @@
 //! );
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { worker: WorkerId(7), .. })));
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod api;
-pub mod net;
-mod rules;
+mod gatekeeper;
 pub mod settings;
 mod state;
 
 pub use api::*;
-pub use rules::Gatekeeper;
+pub use gatekeeper::Gatekeeper;
 pub use state::{hash, Handover};
--- a/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,4 +1,4 @@
-//! Records that the decisions in `src/rules.rs` keep, and helpers without a choice in them.
+//! Records that the decisions keep, and helpers without a choice in them.
 use crate::api::*;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -76,6 +76,11 @@
 }
 
 impl Worker {
+    /// One of which nothing is known yet, among so many classes.
+    pub fn new(info: WorkerInfo, classes: usize) -> Worker {
+        Worker { info, slow: 1.0, health: vec![Health::default(); classes], ..Worker::default() }
+    }
+
     /// Whether it gets nothing for now of most classes, as it failed them.
     pub fn is_avoided(&self, now: Micros) -> bool {
         let classes = self.health.len().saturating_sub(1);
@@ -104,7 +109,7 @@
 
 impl Handover {
     /// Gives the workers the ids that they have here; those without one are left out.
-    pub(crate) fn translate(&mut self, ids: &HashMap<WorkerId, WorkerId>) {
+    pub fn translate(&mut self, ids: &HashMap<WorkerId, WorkerId>) {
         self.workers.retain_mut(|record| match ids.get(&record.id) {
             Some(id) => {
                 record.id = *id;
@@ -129,6 +134,29 @@
     pub credit_at: Micros,
 }
 
+impl Record {
+    /// What there is to tell, with the credit that it has now.
+    pub fn of(w: &Worker, credit: f64, now: Micros) -> Record {
+        Record {
+            id: w.info.id,
+            started: w.info.started,
+            returned: w.returned,
+            slow: w.slow,
+            samples: w.samples,
+            at: w.at,
+            health: w.health.clone(),
+            credit,
+            credit_at: now,
+        }
+    }
+
+    /// Makes a worker what was told of it.
+    pub fn restore(self, w: &mut Worker) {
+        (w.slow, w.samples, w.at, w.health) = (self.slow, self.samples, self.at, self.health);
+        (w.credit, w.credit_at, w.returned) = (self.credit, self.credit_at, self.returned);
+    }
+}
+
 pub struct Attempt {
     pub worker: WorkerId,
     pub zone: Zone,
--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small stage for the module: settings, events and a counter service kept by the test itself.
 #![allow(dead_code)]
 
-use hingestage::*;
+use granitelead_decisions::*;
 use std::collections::BTreeMap;
 
 pub const MS: Micros = 1_000;
--- a/tests/quota.rs
+++ b/crates/decisions/tests/quota.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use hingestage::*;
+use granitelead_decisions::*;
 use std::collections::BTreeMap;
 
 fn served(s: &mut Stage, customer: &str, n: usize, units: f64) -> usize {
--- a/tests/workers.rs
+++ b/crates/decisions/tests/workers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use hingestage::*;
+use granitelead_decisions::*;
 
 /// Ends every attempt that has been out for its time, given by worker; `None` never ends.
 fn serve(s: &mut Stage, time: impl Fn(u64) -> Option<Micros>, outcome: impl Fn(u64) -> Outcome) {
--- a/src/net/body.rs
+++ b/crates/gatekeeper/src/body.rs
@@ -1,7 +1,7 @@
 //! Bodies that pass through: a client's to a server and an answer's back, a buffer at a time.
 
-use crate::net::telemetry::{End, Telemetry};
-use crate::net::times::{FLOW_STALL, UPLOAD_STALL};
+use crate::telemetry::{End, Telemetry};
+use crate::times::{FLOW_STALL, UPLOAD_STALL};
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -13,6 +13,8 @@
 use std::task::{Context, Poll};
 use tokio::time::{sleep, timeout_at, Duration, Instant, Sleep};
 
+/// The longest body of a request, in bytes: longer than anything that is sent in a client's time.
+pub const BODY_MAX: u64 = 1 << 30;
 /// What is read of a body at most before anything is decided or passed on, and how much of a longer one.
 pub const HOLD_MAX: usize = 64 * 1024;
 const HOLD_FIRST: usize = 16 * 1024;
--- a/src/net/clients.rs
+++ b/crates/gatekeeper/src/clients/connections.rs
@@ -1,6 +1,6 @@
 //! Whose connections may stay, and for how long: one manager for all that clients open. No I/O; time is passed in.
 
-use crate::net::times;
+use crate::times;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
 use std::time::{Duration, Instant};
--- a/src/net/server.rs
+++ b/crates/gatekeeper/src/clients/side.rs
@@ -1,17 +1,17 @@
 //! The clients' side: connections and their number, requests read and checked, answers written.
 
-use crate::net::body::{self, Broken, Reply};
-use crate::net::clients::{Clients, Entry, Limits, Reason};
-use crate::net::config::Config;
-use crate::net::driver::{self, Answer, Driver, Taken};
-use crate::net::framing::Framing;
-use crate::net::times;
-use crate::net::turns::NetworkTurns;
-use crate::net::workers::Parts;
-use crate::net::{decimal, note, set_user_timeout, ACCEPT_PAUSE, BODY_MAX};
-use crate::settings::Names;
-use crate::{ClassId, CustomerId, Effect, PlanId};
+use crate::body::{self, Broken, Reply, BODY_MAX};
+use crate::clients::connections::{Clients, Entry, Limits, Reason};
+use crate::clients::framing::Framing;
+use crate::clients::turns::NetworkTurns;
+use crate::config::Config;
+use crate::driver::{self, Answer, Driver, Taken};
+use crate::servers::side::Parts;
+use crate::times;
 use bytes::Bytes;
+use granitelead_base::{decimal, note, set_user_timeout, ACCEPT_PAUSE};
+use granitelead_decisions::settings::Names;
+use granitelead_decisions::{ClassId, CustomerId, Effect, PlanId};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, COOKIE, RETRY_AFTER};
 use hyper::service::service_fn;
--- a/src/net/turns.rs
+++ b/crates/gatekeeper/src/clients/turns.rs
@@ -1,6 +1,6 @@
 //! Turns among sources: one of each that has something, then the next of each. No I/O.
 
-use crate::net::clients::network;
+use crate::clients::connections::network;
 use std::collections::{HashMap, VecDeque};
 use std::hash::Hash;
 use std::net::IpAddr;
--- a/src/net/config.rs
+++ b/crates/gatekeeper/src/config.rs
@@ -1,15 +1,17 @@
 //! What the gateway is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
 
-use crate::net::admin::CALLERS_MAX;
-use crate::net::listing::HostList;
-use crate::net::sources::FURTHER_MAX;
-use crate::settings::{flatten, settings, Fields, Names};
-use crate::{Micros, Settings};
+use granitelead_decisions::settings::{flatten, settings, Fields, Names};
+use granitelead_decisions::{Micros, Settings};
+use granitelead_list::forms::HostList;
+use granitelead_list::sources::FURTHER_MAX;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
 use std::time::Duration;
 
+/// Callers at the operators' door at once. One more makes the one that has been there the longest leave.
+pub const CALLERS_MAX: usize = 12;
+
 /// The configuration as it is written down.
 #[derive(Deserialize)]
 struct File {
--- a/src/net/counter.rs
+++ b/crates/gatekeeper/src/counter.rs
@@ -1,9 +1,8 @@
 //! The connection to the counter: calls written one behind another, answers taken in their order.
 
-use crate::net::driver::Driver;
-use crate::net::{note, Backoff};
-use crate::{CounterName, CounterOutcome, Event, Micros};
 use bytes::BytesMut;
+use granitelead_base::{note, Backoff};
+use granitelead_decisions::{CounterName, CounterOutcome, Event, Micros};
 use redis_protocol::resp2::decode::decode_bytes_mut;
 use redis_protocol::resp2::types::BytesFrame;
 use std::cell::{Cell, RefCell};
@@ -38,6 +37,14 @@
     since: Instant,
 }
 
+/// Who makes the calls and hears how they end.
+pub trait Caller: 'static {
+    /// The counter that it calls.
+    fn counter(&self) -> &Counter;
+    /// A call has ended.
+    fn hear(self: &Rc<Self>, event: Event);
+}
+
 /// The counter, as one connection to it.
 pub struct Counter {
     at: watch::Sender<Option<SocketAddr>>,
@@ -61,24 +68,24 @@
     }
 
     /// Adds to a number. The answer, exactly one, comes as an event.
-    pub fn call(&self, driver: &Rc<Driver>, name: CounterName, amount: f64, keep: Micros) {
+    pub fn call(&self, caller: &Rc<impl Caller>, name: CounterName, amount: f64, keep: Micros) {
         let keep = keep.div_ceil(1_000).max(1).to_string();
         if !self.write(&["CNT.ADD", &name.0, &amount.to_string(), &keep], Some(name.clone())) {
-            return driver.feed(Event::Counter { name, outcome: CounterOutcome::Refused });
+            return caller.hear(Event::Counter { name, outcome: CounterOutcome::Refused });
         }
-        let (driver, seq, wait) = (driver.clone(), self.next.get(), self.wait);
+        let (caller, seq, wait) = (caller.clone(), self.next.get(), self.wait);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(wait).await;
-            driver.counter.expire(&driver, seq);
+            caller.counter().expire(&caller, seq);
         });
     }
 
     /// Ends a call whose answer has not come. The answer is still owed and will be dropped: taking it for the
     /// next call's would shift every total to a wrong name.
-    fn expire(&self, driver: &Rc<Driver>, seq: u64) {
+    fn expire(&self, caller: &Rc<impl Caller>, seq: u64) {
         let name = self.owed.borrow_mut().iter_mut().find(|owed| owed.seq == seq).and_then(|o| o.name.take());
         if let Some(name) = name {
-            driver.feed(Event::Counter { name, outcome: CounterOutcome::Timeout });
+            caller.hear(Event::Counter { name, outcome: CounterOutcome::Timeout });
         }
     }
 
@@ -108,20 +115,20 @@
     }
 
     /// Keeps a connection to wherever the counter is, for ever.
-    pub async fn run(&self, driver: Rc<Driver>) {
+    pub async fn run(&self, caller: Rc<impl Caller>) {
         let mut place = self.at.subscribe();
         loop {
             let at = *place.borrow_and_update();
             tokio::select! {
-                () = self.keep(&driver, at) => {}
-                _ = place.changed() => self.hang_up(&driver),
+                () = self.keep(&caller, at) => {}
+                _ = place.changed() => self.hang_up(&caller),
             }
         }
     }
 
     /// The counter closes a connection that is idle; that is no failure. One that has served is replaced at
     /// once, one that has not after a pause.
-    async fn keep(&self, driver: &Rc<Driver>, at: Option<SocketAddr>) {
+    async fn keep(&self, caller: &Rc<impl Caller>, at: Option<SocketAddr>) {
         let Some(at) = at else { return std::future::pending().await };
         let mut backoff = Backoff::new(self.seed);
         loop {
@@ -130,10 +137,10 @@
                 let _ = stream.set_nodelay(true);
                 let (reader, writer) = stream.into_split();
                 *self.conn.borrow_mut() = Some(writer);
-                if let Err(what) = self.read(driver, reader, &mut served).await {
+                if let Err(what) = self.read(caller, reader, &mut served).await {
                     note(&self.odd, format_args!("counter: {what}"));
                 }
-                self.hang_up(driver);
+                self.hang_up(caller);
             }
             if served {
                 backoff.reset();
@@ -144,11 +151,11 @@
     }
 
     /// What was written and not answered may have been added.
-    fn hang_up(&self, driver: &Rc<Driver>) {
+    fn hang_up(&self, caller: &Rc<impl Caller>) {
         *self.conn.borrow_mut() = None;
         let owed = std::mem::take(&mut *self.owed.borrow_mut());
         for name in owed.into_iter().filter_map(|owed| owed.name) {
-            driver.feed(Event::Counter { name, outcome: CounterOutcome::Timeout });
+            caller.hear(Event::Counter { name, outcome: CounterOutcome::Timeout });
         }
     }
 
@@ -156,7 +163,7 @@
     /// came.
     async fn read(
         &self,
-        driver: &Rc<Driver>,
+        caller: &Rc<impl Caller>,
         mut from: OwnedReadHalf,
         served: &mut bool,
     ) -> Result<(), &'static str> {
@@ -184,7 +191,7 @@
                 }
                 if let Some(name) = owed.name {
                     let outcome = outcome.unwrap_or(CounterOutcome::Timeout);
-                    driver.feed(Event::Counter { name, outcome });
+                    caller.hear(Event::Counter { name, outcome });
                 }
                 if !proper {
                     return Err("an answer that is no total");
--- a/src/net/driver.rs
+++ b/crates/gatekeeper/src/driver.rs
@@ -1,14 +1,16 @@
 //! Owns the decisions, their clock and the open requests: events in, actions out. Each request ends once.
 
-use crate::net::body::{Counted, Flow, Gathered, Room};
-use crate::net::config::Config;
-use crate::net::counter::Counter;
-use crate::net::telemetry::{End, Telemetry};
-use crate::net::watch::Listing;
-use crate::net::workers::{Attempted, Parts, Progress, Workers};
-use crate::{Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Handover, Micros, Outcome, PlanId};
-use crate::{Request, RequestId, WorkerId};
+use crate::body::{Counted, Flow, Gathered, Room};
+use crate::config::Config;
+use crate::counter::{Caller, Counter};
+use crate::servers::side::{Attempted, Parts, Progress, Workers};
+use crate::telemetry::{End, Telemetry};
 use bytes::Bytes;
+use granitelead_decisions::{
+    Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Handover, Micros, Outcome, PlanId,
+};
+use granitelead_decisions::{Request, RequestId, WorkerId};
+use granitelead_list::follower::Listing;
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -373,6 +375,16 @@
     }
 }
 
+impl Caller for Driver {
+    fn counter(&self) -> &Counter {
+        &self.counter
+    }
+
+    fn hear(self: &Rc<Self>, event: Event) {
+        self.feed(event);
+    }
+}
+
 /// Stands for a client that waits.
 pub struct Ticket {
     driver: Rc<Driver>,
--- /dev/null
+++ b/crates/gatekeeper/src/lib.rs
@@ -0,0 +1,19 @@
+//! One gatekeeper on real sockets: carries events to the one [`granitelead_decisions::Gatekeeper`], and its actions out.
+//!
+//! Imports run down this list, never up: `lifecycle` (start, reload, upgrade, stop), `operators`, `clients` and `list`
+//! (the sides that bring events), `driver` (which owns the decisions), `servers` and `counter` (the sides that carry
+//! actions out), `body`, `telemetry`, `config`, `times`.
+
+pub mod body;
+pub mod clients;
+pub mod config;
+pub mod counter;
+pub mod driver;
+pub mod lifecycle;
+pub mod list;
+pub mod operators;
+pub mod servers;
+pub mod telemetry;
+pub mod times;
+
+pub use lifecycle::run::run;
--- a/src/net/handover.rs
+++ b/crates/gatekeeper/src/lifecycle/handover.rs
@@ -1,12 +1,12 @@
 //! An upgrade: the new process of this gateway finds the old one by a Unix socket, is passed its listening
 //! socket and what it knows, and takes its place.
 
-use crate::net::by_hand::ByHand;
-use crate::net::discovery::Book;
-use crate::net::driver::Driver;
-use crate::net::note;
-use crate::net::server::Server;
-use crate::{Handover, WorkerId};
+use crate::clients::side::Server;
+use crate::driver::Driver;
+use crate::list::Book;
+use crate::operators::by_hand::ByHand;
+use granitelead_base::note;
+use granitelead_decisions::{Handover, WorkerId};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -73,8 +73,8 @@
     match timeout(ANSWER, asked).await {
         Ok(Ok((listener, predecessor))) => return Ok((listener, Some(predecessor))),
         Ok(Err(e)) if e.kind() == io::ErrorKind::NotFound => {}
-        Ok(Err(e)) => eprintln!("hingestage: nobody hands over: {e}"),
-        Err(_) => eprintln!("hingestage: nobody hands over: no answer in time"),
+        Ok(Err(e)) => eprintln!("granitelead: nobody hands over: {e}"),
+        Err(_) => eprintln!("granitelead: nobody hands over: no answer in time"),
     }
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
@@ -181,11 +181,11 @@
                 if known.evacuates {
                     self.server.evacuate();
                 }
-                eprintln!("hingestage: taken over");
+                eprintln!("granitelead: taken over");
             }
-            Ok(Ok(None)) => eprintln!("hingestage: the process before has ended"),
-            Ok(Err(e)) => eprintln!("hingestage: taken over without what was known: {e}"),
-            Err(_) => eprintln!("hingestage: taken over without what was known: no answer in time"),
+            Ok(Ok(None)) => eprintln!("granitelead: the process before has ended"),
+            Ok(Err(e)) => eprintln!("granitelead: taken over without what was known: {e}"),
+            Err(_) => eprintln!("granitelead: taken over without what was known: no answer in time"),
         }
         self.by_hand.follow();
         self.server.set_accepts(true);
@@ -213,7 +213,7 @@
     pub async fn offer(self: Rc<Self>, listener: Rc<TcpListener>, place: PathBuf) {
         let meeting = match meet(&place) {
             Ok(meeting) => meeting,
-            Err(e) => return eprintln!("hingestage: no upgrades: {}: {e}", place.display()),
+            Err(e) => return eprintln!("granitelead: no upgrades: {}: {e}", place.display()),
         };
         loop {
             let handed = match meeting.accept().await {
@@ -243,7 +243,7 @@
             evacuates: self.server.evacuates(),
             handover: self.driver.hand_over(),
         };
-        eprintln!("hingestage: handed over");
+        eprintln!("granitelead: handed over");
         let told = self.keep_telling(&known, &mut read, &mut write).await;
         // Only its end ends this: the gateway is this process again.
         self.driver.carry_on();
--- /dev/null
+++ b/crates/gatekeeper/src/lifecycle/mod.rs
@@ -0,0 +1,4 @@
+//! Start, reload, upgrade and stop.
+
+pub mod handover;
+pub mod run;
--- a/src/main.rs
+++ b/crates/gatekeeper/src/lifecycle/run.rs
@@ -1,17 +1,17 @@
 //! One gateway: reads its configuration, serves until told to stop, and exits when all is answered.
-#![forbid(unsafe_code)]
 
-use hingestage::net::admin::Door;
-use hingestage::net::by_hand::ByHand;
-use hingestage::net::config::Config;
-use hingestage::net::discovery::{follow, Book};
-use hingestage::net::driver::Driver;
-use hingestage::net::handover::{listen, meeting_place, Upgrade};
-use hingestage::net::server::Server;
-use hingestage::net::sources::Sources;
-use hingestage::net::watch::{Follower, Pace};
-use hingestage::net::{run, times};
-use hingestage::ListScope;
+use crate::clients::side::Server;
+use crate::config::Config;
+use crate::driver::Driver;
+use crate::lifecycle::handover::{listen, meeting_place, Upgrade};
+use crate::list::{follow, Book};
+use crate::operators::by_hand::ByHand;
+use crate::operators::door::Door;
+use crate::times;
+use granitelead_base as base;
+use granitelead_decisions::ListScope;
+use granitelead_list::follower::{Follower, Pace};
+use granitelead_list::sources::Sources;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -27,8 +27,9 @@
 /// Idle connections to workers are looked at once in so many looks at clients.
 const RETIRE_EVERY: u64 = 4;
 
-fn main() -> ExitCode {
-    run("hingestage", || Config::load(|name| std::env::var(name).ok()), serve)
+/// Runs one gatekeeper to its end, as its environment says.
+pub fn run() -> ExitCode {
+    base::run("granitelead", || Config::load(|name| std::env::var(name).ok()), serve)
 }
 
 async fn serve(config: Config) -> Result<(), String> {
@@ -40,13 +41,13 @@
     let (listener, predecessor) = listened.map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
     let listener = Rc::new(listener);
     let bound = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
-    eprintln!("hingestage: listening on {bound}");
+    eprintln!("granitelead: listening on {bound}");
     let door = match config.admin {
         Some(at) => Some(TcpListener::bind(at).await.map_err(|e| format!("field `admin_addr`: {at}: {e}"))?),
         None => None,
     };
     if let Some(at) = door.as_ref().and_then(|door| door.local_addr().ok()) {
-        eprintln!("hingestage: operators call at {at}");
+        eprintln!("granitelead: operators call at {at}");
     }
     let driver = Driver::new(&config);
     let summed = driver.clone();
@@ -84,11 +85,11 @@
             while hangup.recv().await.is_some() {
                 match Config::moved(|name| std::env::var(name).ok()) {
                     Ok((at, counter)) => {
-                        eprintln!("hingestage: reloaded: discovery {at:?}, counter {counter:?}");
+                        eprintln!("granitelead: reloaded: discovery {at:?}, counter {counter:?}");
                         discovery.send_if_modified(|known| std::mem::replace(known, at.clone()) != at);
                         driver.counter.move_to(counter);
                     }
-                    Err(message) => eprintln!("hingestage: not reloaded: {message}"),
+                    Err(message) => eprintln!("granitelead: not reloaded: {message}"),
                 }
             }
         }
@@ -127,6 +128,6 @@
     }
     server.stop(listener, config.longest_deadline() + STOP_SPARE).await;
     let (ended, open) = (summed.telemetry.total(), summed.telemetry.inflight());
-    eprintln!("hingestage: stopped: {ended:?}, {open} unanswered");
+    eprintln!("granitelead: stopped: {ended:?}, {open} unanswered");
     Ok(())
 }
--- a/src/net/discovery.rs
+++ b/crates/gatekeeper/src/list.rs
@@ -1,11 +1,11 @@
 //! The book of who is where, brought up to the list of workers.
 
-use crate::net::driver::Driver;
-use crate::net::listing::{HostList, Target};
-use crate::net::note;
-use crate::net::watch::Follower;
-use crate::state::hash;
-use crate::{Availability, Event, ListScope, WorkerId, WorkerInfo, WorkerList, Zone};
+use crate::driver::Driver;
+use granitelead_base::note;
+use granitelead_decisions::hash;
+use granitelead_decisions::{Availability, Event, ListScope, WorkerId, WorkerInfo, WorkerList, Zone};
+use granitelead_list::follower::Follower;
+use granitelead_list::forms::{HostList, Target};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
--- a/src/net/by_hand.rs
+++ b/crates/gatekeeper/src/operators/by_hand.rs
@@ -1,8 +1,8 @@
 //! Servers that operators have left out: the names, in force and kept for the next process of this gateway.
 
-use crate::net::discovery::Book;
-use crate::net::driver::Driver;
-use crate::net::note;
+use crate::driver::Driver;
+use crate::list::Book;
+use granitelead_base::note;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::io;
@@ -42,7 +42,7 @@
         };
         self.driver.by_hand(id, out);
         if changed {
-            eprintln!("hingestage: {uid} {}", if out { "left out" } else { "put back" });
+            eprintln!("granitelead: {uid} {}", if out { "left out" } else { "put back" });
             if let Err(e) = self.keep() {
                 note(&self.odd, format_args!("left out until this process ends only: {e}"));
             }
--- a/src/net/admin.rs
+++ b/crates/gatekeeper/src/operators/door.rs
@@ -1,8 +1,9 @@
 //! The operators' door: one line a connection, one answer, and the connection is closed.
 
-use crate::net::by_hand::ByHand;
-use crate::net::server::Server;
-use crate::net::{note, ACCEPT_PAUSE};
+use crate::clients::side::Server;
+use crate::config::CALLERS_MAX;
+use crate::operators::by_hand::ByHand;
+use granitelead_base::{note, ACCEPT_PAUSE};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -11,8 +12,6 @@
 use tokio::sync::Notify;
 use tokio::time::{timeout, Duration};
 
-/// Callers at once. One more makes the one that has been here the longest leave.
-pub const CALLERS_MAX: usize = 12;
 /// The longest call, bytes.
 const CALL_MAX: usize = 256;
 /// How long a caller may take over its call, and over taking the answer.
--- a/src/net/dials.rs
+++ b/crates/gatekeeper/src/servers/dials.rs
@@ -1,6 +1,6 @@
 //! Connections being opened to workers: how many at once, for whom, and when not. No I/O; time is passed in.
 
-use crate::WorkerId;
+use granitelead_decisions::WorkerId;
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
--- a/src/net/workers.rs
+++ b/crates/gatekeeper/src/servers/side.rs
@@ -1,12 +1,12 @@
 //! The workers' side: pooled connections, attempts, and what an attempt's end proves.
 
-use crate::net::body::{self, gather, Broken, Gathered, Outgoing, Room, Upload};
-use crate::net::config::Config;
-use crate::net::dials::{Ask, Dialed, Dials};
-use crate::net::times::{FLOW_STALL, WORKER_ACK};
-use crate::net::wire::{Place, Wire, WireIo};
-use crate::net::{decimal, note};
-use crate::{Outcome, WorkerId};
+use crate::body::{self, gather, Broken, Gathered, Outgoing, Room, Upload};
+use crate::config::Config;
+use crate::servers::dials::{Ask, Dialed, Dials};
+use crate::times::{FLOW_STALL, WORKER_ACK};
+use granitelead_base::wire::{Place, Wire, WireIo};
+use granitelead_base::{decimal, note};
+use granitelead_decisions::{Outcome, WorkerId};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
--- a/src/bin/hingestage-discovery/board.rs
+++ b/crates/list-service/src/board.rs
@@ -1,7 +1,7 @@
 //! The list as it is told, and the last changes in one ring that all watchers share. No I/O.
 
 use bytes::Bytes;
-use hingestage::net::listing::{HostList, Revision, Target};
+use granitelead_list::forms::{HostList, Revision, Target};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// Changes kept for watchers that were away.
@@ -172,7 +172,7 @@
     use super::*;
     use crate::registry::tests::{call, UNIX};
     use crate::registry::{Record, Registry};
-    use hingestage::net::listing::{OnLease, Register};
+    use granitelead_list::forms::{OnLease, Register};
 
     /// What a watcher has of the list.
     #[derive(Default)]
--- a/src/bin/hingestage-discovery/main.rs
+++ b/crates/list-service/src/lib.rs
@@ -1,5 +1,4 @@
 //! The list service: resale servers register in it, gatekeepers watch it. Or a mirror of one.
-#![forbid(unsafe_code)]
 
 mod board;
 mod doors;
@@ -9,10 +8,9 @@
 mod store;
 
 use board::Position;
-use hingestage::net::listing::HostList;
-use hingestage::net::run;
-use hingestage::net::sources::Sources;
-use hingestage::net::watch::{Follower, Listing, Pace};
+use granitelead_list::follower::{Follower, Listing, Pace};
+use granitelead_list::forms::HostList;
+use granitelead_list::sources::Sources;
 use http::Front;
 use lexopt::{Arg, Parser, ValueExt};
 use registry::Registry;
@@ -28,7 +26,7 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
-const USAGE: &str = "usage: hingestage-discovery --listen ADDRESS (--data FOLDER | --mirror-of ADDRESS)
+const USAGE: &str = "usage: granitelead-discovery --listen ADDRESS (--data FOLDER | --mirror-of ADDRESS)
     [--settle-ms N] [--guard-ms N] [--connections N] [--new]";
 /// Time for servers to register anew where the list was lost.
 const SETTLE_MS: u64 = 10_000;
@@ -102,8 +100,9 @@
     }
 }
 
-fn main() -> ExitCode {
-    run("hingestage-discovery", || Options::read(Parser::from_env()), serve)
+/// Runs the list service to its end, as its command line says.
+pub fn run() -> ExitCode {
+    granitelead_base::run("granitelead-discovery", || Options::read(Parser::from_env()), serve)
 }
 
 async fn serve(options: Option<Options>) -> Result<(), String> {
@@ -129,7 +128,7 @@
     let front = Front::new(service.clone(), options.connections);
     spawn_local(service.clone().look_after_leases());
     spawn_local(front.accept(listener));
-    eprintln!("hingestage-discovery: listening on {bound}");
+    eprintln!("granitelead-discovery: listening on {bound}");
     let kept = async {
         match store {
             Some(store) => service.keep_changes(store).await,
@@ -154,12 +153,12 @@
             let epoch = now.max(kept.epoch.map_or(0, |epoch| epoch + 1));
             (kept.rev, kept.lease) = (now.max(kept.rev + 1), now.max(kept.lease + 1));
             if let Some(what) = kept.damage.take() {
-                eprintln!("hingestage-discovery: {what}; {} leases kept", kept.leases.len());
+                eprintln!("granitelead-discovery: {what}; {} leases kept", kept.leases.len());
             }
             if !options.new {
                 settle = options.settle;
                 let ms = settle.as_millis();
-                eprintln!("hingestage-discovery: a new list begins; it is told in {ms} ms");
+                eprintln!("granitelead-discovery: a new list begins; it is told in {ms} ms");
             }
             epoch
         }
@@ -167,7 +166,7 @@
     let leases: Vec<_> = kept.leases.values().cloned().collect();
     let at = Position { epoch, rev: kept.rev };
     let registry = Registry::new((kept.rev, kept.lease), leases.iter().cloned(), options.guard_ms, 0);
-    eprintln!("hingestage-discovery: epoch {epoch}, rev {}, {} leases", kept.rev, leases.len());
+    eprintln!("granitelead-discovery: epoch {epoch}, rev {}, {} leases", kept.rev, leases.len());
     let store = Store::begin(folder, lock, kept, epoch, LOG_MAX)?;
     Ok((Service::writer(registry, at, &leases, settle), store))
 }
--- a/src/bin/hingestage-discovery/registry.rs
+++ b/crates/list-service/src/registry.rs
@@ -1,6 +1,6 @@
 //! Who holds a lease, and when it ends. No I/O; time is passed in, in ms of a clock that never goes back.
 
-use hingestage::net::listing::{Leased, OnLease, Register, Target};
+use granitelead_list::forms::{Leased, OnLease, Register, Target};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
@@ -320,7 +320,7 @@
 #[cfg(test)]
 pub mod tests {
     use super::*;
-    use hingestage::net::watch::LINE_MAX;
+    use granitelead_list::follower::LINE_MAX;
 
     pub const UNIX: u64 = 1_800_000_000_000;
     const TTL: u64 = 10_000;
--- a/src/bin/hingestage-discovery/service.rs
+++ b/crates/list-service/src/service.rs
@@ -4,10 +4,10 @@
 use crate::registry::{Noted, Record, Refusal, Registry};
 use crate::store::Store;
 use bytes::Bytes;
-use hingestage::net::listing::{HostList, Leased, OnLease, Register, Revision};
-use hingestage::net::note;
-use hingestage::net::watch::Listing;
-use hingestage::ListScope;
+use granitelead_base::note;
+use granitelead_decisions::ListScope;
+use granitelead_list::follower::Listing;
+use granitelead_list::forms::{HostList, Leased, OnLease, Register, Revision};
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use std::rc::Rc;
@@ -218,7 +218,7 @@
             tokio::time::sleep(LOOK).await;
             let (records, noted) = registry.borrow_mut().look(self.now());
             for record in &records {
-                eprintln!("hingestage-discovery: {} has lapsed", record.target.uid);
+                eprintln!("granitelead-discovery: {} has lapsed", record.target.uid);
             }
             if !records.is_empty() {
                 self.pend(records);
@@ -227,20 +227,20 @@
                 None => {}
                 Some(Noted::Paused(ms)) => {
                     eprintln!(
-                        "hingestage-discovery: stood still for {ms} ms; all leases have their time again"
+                        "granitelead-discovery: stood still for {ms} ms; all leases have their time again"
                     );
                 }
                 Some(Noted::Guarded(n, all)) => {
                     eprintln!(
-                        "hingestage-discovery: guarded: {n} of {all} leases overdue; the servers stay listed"
+                        "granitelead-discovery: guarded: {n} of {all} leases overdue; the servers stay listed"
                     );
                 }
                 Some(Noted::SeesAgain) => {
-                    eprintln!("hingestage-discovery: no more guarded: renewals come again")
+                    eprintln!("granitelead-discovery: no more guarded: renewals come again")
                 }
                 Some(Noted::GaveUp(n)) => {
                     eprintln!(
-                        "hingestage-discovery: no more guarded: {n} servers silent for too long are gone"
+                        "granitelead-discovery: no more guarded: {n} servers silent for too long are gone"
                     );
                 }
             }
--- a/src/bin/hingestage-discovery/store.rs
+++ b/crates/list-service/src/store.rs
@@ -214,7 +214,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use hingestage::net::listing::Target;
+    use granitelead_list::forms::Target;
 
     /// A folder of its own, gone with the test.
     struct Folder(PathBuf);
--- a/src/net/watch.rs
+++ b/crates/list/src/follower.rs
@@ -1,11 +1,11 @@
 //! Watches on the list: one source at a time, for ever.
 
-use crate::net::listing::{HostList, Revision, HOSTS, REVISION};
-use crate::net::sources::{Heard, Odd, Sources};
-use crate::net::wire::{Place, Wire, WireIo};
-use crate::net::{note, Backoff};
-use crate::ListScope;
+use crate::forms::{HostList, Revision, HOSTS, REVISION};
+use crate::sources::{Heard, Odd, Sources};
 use bytes::{Bytes, BytesMut};
+use granitelead_base::wire::{Place, Wire, WireIo};
+use granitelead_base::{note, Backoff};
+use granitelead_decisions::ListScope;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
--- a/src/net/sources.rs
+++ b/crates/list/src/sources.rs
@@ -1,7 +1,7 @@
 //! Which source of the list to watch, and what to believe of what it tells. No I/O; time is passed in.
 
-use crate::net::listing::{HostList, Revision, HOSTS};
-use crate::ListScope;
+use crate::forms::{HostList, Revision, HOSTS};
+use granitelead_decisions::ListScope;
 use std::collections::{HashSet, VecDeque};
 use std::fmt;
 use std::net::SocketAddr;
@@ -282,7 +282,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::listing::Target;
+    use crate::forms::Target;
 
     fn target(uid: &str, state: &str) -> Target {
         let text = format!(r#"{{"uid":"{uid}","endpoint":"127.0.0.1:1","state":"{state}"}}"#);
--- a/src/bin/hingestage-adapter/main.rs
+++ b/crates/simwire/src/lib.rs
@@ -4,19 +4,20 @@
 
 mod wire;
 
-use hingestage::settings::{Fields, Names};
-use hingestage::{Action, Event, Gatekeeper};
+use granitelead_decisions::settings::{Fields, Names};
+use granitelead_decisions::{Action, Event, Gatekeeper};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 use wire::Input;
 
-fn main() -> ExitCode {
-    match run(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
+/// Runs the adapter over standard input and output, to its end.
+pub fn run() -> ExitCode {
+    match converse(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("hingestage-adapter: {message}");
+            eprintln!("granitelead-adapter: {message}");
             ExitCode::FAILURE
         }
     }
@@ -40,7 +41,7 @@
     }
 }
 
-fn run(input: impl BufRead, mut output: impl Write) -> Result<(), String> {
+fn converse(input: impl BufRead, mut output: impl Write) -> Result<(), String> {
     let mut lines = Lines { input, number: 0 };
     let mut hosted: BTreeMap<u32, (Gatekeeper, Names)> = BTreeMap::new();
     while let Some(head) = lines.next()? {
@@ -76,7 +77,7 @@
                         let line = lines.next()?.ok_or("input ends inside a list")?;
                         workers.push(wire::row(&Fields::parse(&line, lines.number)?)?);
                     }
-                    Event::Workers(hingestage::WorkerList { scope, workers })
+                    Event::Workers(granitelead_decisions::WorkerList { scope, workers })
                 }
                 Input::Event(event) => event,
             };
--- a/src/bin/hingestage-adapter/wire.rs
+++ b/crates/simwire/src/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's words: parsing of events and settings, printing of actions. No decisions.
 
-use hingestage::settings::{settings, Fields, Names};
-use hingestage::*;
+use granitelead_decisions::settings::{settings, Fields, Names};
+use granitelead_decisions::*;
 use std::fmt::Write;
 
 /// What one line asks of the host.
--- /dev/null
+++ b/src/bin/granitelead.rs
@@ -0,0 +1,7 @@
+//! One gatekeeper.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    granitelead_gatekeeper::run()
+}
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -17,7 +17,7 @@
     graceUs=900000\tcontract=small\tfirstDoor=1\tunheardOf=1";
 
 fn run(input: &str) -> (bool, String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_hingestage-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_granitelead-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -2,7 +2,7 @@
 
 mod peers;
 
-use hingestage::net::listing::{HostList, Leased, OnLease, Refused};
+use granitelead_list::forms::{HostList, Leased, OnLease, Refused};
 use peers::list::Service;
 use peers::*;
 use serde_json::{json, Value};
@@ -20,7 +20,7 @@
 
 /// Runs the list service to its end; gives exit code and standard error.
 fn run_service(args: &[&str]) -> (Option<i32>, String) {
-    let out = Command::new(env!("CARGO_BIN_EXE_hingestage-discovery")).args(args).output().unwrap();
+    let out = Command::new(env!("CARGO_BIN_EXE_granitelead-discovery")).args(args).output().unwrap();
     (out.status.code(), String::from_utf8(out.stderr).unwrap())
 }
 
@@ -582,7 +582,7 @@
     ] {
         let (code, text) = run_service(args);
         assert_eq!((code, text.lines().count()), (Some(1), 1), "{args:?}: {text}");
-        assert!(text.starts_with("hingestage-discovery: "), "{text}");
+        assert!(text.starts_with("granitelead-discovery: "), "{text}");
     }
 }
 
--- a/tests/discovery_fleet.rs
+++ b/tests/discovery_fleet.rs
@@ -2,9 +2,9 @@
 
 mod peers;
 
-use hingestage::net::listing::{HostList, Leased, Register};
-use hingestage::net::sources::Sources;
-use hingestage::net::watch::{Follower, Listing, Pace};
+use granitelead_list::follower::{Follower, Listing, Pace};
+use granitelead_list::forms::{HostList, Leased, Register};
+use granitelead_list::sources::Sources;
 use peers::list::Service;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/tests/peers/list.rs
+++ b/tests/peers/list.rs
@@ -29,7 +29,7 @@
     }
 
     fn start_at(listen: &str, args: Vec<String>) -> Service {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_hingestage-discovery"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_granitelead-discovery"))
             .args(["--listen", listen])
             .args(&args)
             .stderr(Stdio::piped())
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -330,7 +330,7 @@
 fn folder_named(end: &str) -> Arc<Folder> {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-    let name = format!("hingestage-{}-{number}{end}", std::process::id());
+    let name = format!("granitelead-{}-{number}{end}", std::process::id());
     let folder = Folder(std::env::temp_dir().join(name));
     std::fs::create_dir_all(&folder.0).unwrap();
     Arc::new(folder)
@@ -343,7 +343,7 @@
 }
 
 fn spawn(config: &str, folder: &Folder) -> Child {
-    spawn_by(Command::new(env!("CARGO_BIN_EXE_hingestage")), config, folder)
+    spawn_by(Command::new(env!("CARGO_BIN_EXE_granitelead")), config, folder)
 }
 
 fn spawn_by(mut command: Command, config: &str, folder: &Folder) -> Child {
@@ -399,7 +399,7 @@
         let folder = folder();
         let mut command = Command::new("/bin/sh");
         let limited = format!("ulimit -n {descriptors}; exec \"$0\"");
-        command.args(["-c", &limited, env!("CARGO_BIN_EXE_hingestage")]);
+        command.args(["-c", &limited, env!("CARGO_BIN_EXE_granitelead")]);
         let child = spawn_by(command, &config.to_string(), &folder);
         Gateway::of(child, folder, config)
     }
