--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -5,17 +5,17 @@
 /// A point in time or a span, in microseconds. Points are read off one clock that never goes back.
 pub type Micros = u64;
 
-/// A client's request, by the id its gateway gave it.
+/// A client's request, by the id its gatekeeper gave it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub String);
 
-/// A customer, whose plan's quota all its gateways share.
+/// A customer, whose plan's quota all its gatekeepers share.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CustomerId(pub String);
 
-/// A worker process; it keeps its id when it restarts.
+/// A server process; it keeps its id when it restarts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct WorkerId(pub u64);
+pub struct ServerId(pub u64);
 
 /// A class of requests: its place in [`Settings::classes`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -42,14 +42,14 @@
 pub enum Effect {
     /// It may be repeated freely.
     Idempotent,
-    /// Workers of one group drop repeats for a time.
+    /// Servers of one group drop repeats for a time.
     Deduplicated,
     /// It must not run twice.
     #[default]
     AtMostOnce,
 }
 
-/// Which workers drop each other's repeats of a deduplicated request.
+/// Which servers drop each other's repeats of a deduplicated request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum DedupGroup {
     /// All of them.
@@ -76,7 +76,7 @@
     pub key_window: Micros,
 }
 
-/// A plan. Quotas and ceilings hold for each customer, over all gateways together.
+/// A plan. Quotas and ceilings hold for each customer, over all gatekeepers together.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
     /// Units a second that fill the quota's store; 0 means no such quota.
@@ -100,11 +100,11 @@
 /// Figures of the rules that bind a gatekeeper.
 #[derive(Clone, Debug, Default)]
 pub struct RuleFigures {
-    /// A worker starts with this share of its capacity at least.
+    /// A server starts with this share of its capacity at least.
     pub cold_from: f64,
-    /// A worker is warm after this time at the latest.
+    /// A server is warm after this time at the latest.
     pub cold_for: Micros,
-    /// A cold worker falls over when sent more than this multiple of its present capacity ...
+    /// A cold server falls over when sent more than this multiple of its present capacity ...
     pub fall_multiple: f64,
     /// ... over this time.
     pub fall_after: Micros,
@@ -142,7 +142,7 @@
     pub most_units: f64,
     /// Whether a request's units are a guess that its answer settles.
     pub settles: bool,
-    /// Whether changes to the list of workers must be subscribed to.
+    /// Whether changes to the list of servers must be subscribed to.
     pub subscribe: bool,
     /// The classes of requests.
     pub classes: Vec<Class>,
@@ -154,7 +154,7 @@
     pub rules: RuleFigures,
 }
 
-/// Whether a worker takes new work.
+/// Whether a server takes new work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Availability {
     /// It does.
@@ -166,53 +166,53 @@
     Gone,
 }
 
-/// One worker as discovery lists it.
+/// One server as discovery lists it.
 #[derive(Clone, Debug, Default)]
-pub struct WorkerInfo {
-    /// Which worker.
-    pub id: WorkerId,
+pub struct ServerInfo {
+    /// Which server.
+    pub id: ServerId,
     /// Whether it takes new work.
     pub availability: Availability,
     /// Where it is.
     pub zone: Zone,
-    /// The group of workers that share which keys they have seen.
+    /// The group of servers that share which keys they have seen.
     pub cell: u64,
     /// Its size, for comparison with others.
     pub size: f64,
     /// When it last started; `None` means long ago.
     pub started: Option<Micros>,
-    /// Its place in the order of all workers, the same at every gateway.
+    /// Its place in the order of all servers, the same at every gatekeeper.
     pub place: u64,
 }
 
-impl WorkerInfo {
-    /// A warm worker that takes work, of size 1, in the nameless zone.
-    pub fn ready(id: WorkerId) -> Self {
+impl ServerInfo {
+    /// A warm server that takes work, of size 1, in the nameless zone.
+    pub fn ready(id: ServerId) -> Self {
         let availability = Availability::Ready;
-        WorkerInfo { id, availability, zone: Zone::default(), cell: 0, size: 1.0, started: None, place: 0 }
+        ServerInfo { id, availability, zone: Zone::default(), cell: 0, size: 1.0, started: None, place: 0 }
     }
 }
 
-/// What a list of workers covers.
+/// What a list of servers covers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListScope {
     /// Only what changed.
     Delta,
-    /// All workers; those absent are gone.
+    /// All servers; those absent are gone.
     Full,
-    /// All workers as last known before a restart, possibly stale.
+    /// All servers as last known before a restart, possibly stale.
     Cached,
     /// A call to discovery failed or the subscription broke; the old list holds.
     Failed,
 }
 
-/// Discovery's news about the workers.
+/// Discovery's news about the servers.
 #[derive(Clone, Debug)]
-pub struct WorkerList {
+pub struct ServerList {
     /// What it covers.
     pub scope: ListScope,
-    /// The workers it names.
-    pub workers: Vec<WorkerInfo>,
+    /// The servers it names.
+    pub servers: Vec<ServerInfo>,
 }
 
 /// A client's request. Exactly one final answer is owed for it.
@@ -228,8 +228,8 @@
     pub plan: Option<PlanId>,
     /// Units it takes from the quota.
     pub units: f64,
-    /// How many gateways this customer's requests come through.
-    pub gateways: u32,
+    /// How many gatekeepers this customer's requests come through.
+    pub gatekeepers: u32,
     /// Time until the client gives this try up, counted from the request's last byte.
     pub time_left: Micros,
     /// Whether its last byte has come; if not, [`Event::Whole`] will tell.
@@ -241,7 +241,7 @@
 pub enum Outcome {
     /// Served.
     Ok,
-    /// The worker answered with an error; it may have run.
+    /// The server answered with an error; it may have run.
     Error,
     /// Turned away unseen; it never ran.
     Full,
@@ -288,18 +288,18 @@
 /// What a gatekeeper is told.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// News of the workers.
-    Workers(WorkerList),
-    /// An operator leaves a worker out, whatever is listed, or puts it back.
+    /// News of the servers.
+    Servers(ServerList),
+    /// An operator leaves a server out, whatever is listed, or puts it back.
     ByHand {
-        /// Which worker.
-        worker: WorkerId,
+        /// Which server.
+        server: ServerId,
         /// Whether it is left out from now on.
         out: bool,
     },
     /// A request has come in.
     Request(Request),
-    /// The last byte of a request has come, and gone on to a worker: its time begins.
+    /// The last byte of a request has come, and gone on to a server: its time begins.
     Whole(RequestId),
     /// A request's body is no longer held, so that it can't be sent again.
     Spent(RequestId),
@@ -326,12 +326,12 @@
 /// What a gatekeeper wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send a request to a worker.
+    /// Send a request to a server.
     Send {
         /// Which request.
         request: RequestId,
         /// Where to.
-        worker: WorkerId,
+        server: ServerId,
         /// Time the attempt may take.
         timeout: Micros,
     },
--- a/crates/decisions/src/gatekeeper/attempts.rs
+++ b/crates/decisions/src/gatekeeper/attempts.rs
@@ -6,24 +6,24 @@
 const HEDGE_SHARE: f64 = 0.75;
 /// Further attempts earned by each first one, and the most saved up: keeps retries from piling on.
 pub(super) const RETRY_EARN: (f64, f64) = (0.15, 20.0);
-/// Typical latencies without any answer after which a worker with work out counts as silent.
+/// Typical latencies without any answer after which a server with work out counts as silent.
 const SILENT: f64 = 4.0;
 
 impl Gatekeeper {
-    /// Sends a request to the best worker that its guards allow. The only place that sends.
+    /// Sends a request to the best server that its guards allow. The only place that sends.
     pub(super) fn dispatch(&mut self, id: &RequestId, out: &mut Vec<Action>) -> bool {
         let Some(key) = self.requests.get(id).map(|r| r.key.clone()) else { return false };
-        // What all workers may have in hand, an even part of it; less than one is kept by resting.
+        // What all servers may have in hand, an even part of it; less than one is kept by resting.
         let room = self.room();
         if self.out >= room.max(1.0) || (room < 1.0 && self.now < self.rest_until) {
             return false;
         }
         self.advance(&key);
-        let Some(worker) = self.pick(id) else { return false };
-        let Some(w) = self.workers.get(&worker) else { return false };
+        let Some(server) = self.pick(id) else { return false };
+        let Some(w) = self.servers.get(&server) else { return false };
         let (credit, warm) = (self.credit(w), self.coldness(w, self.now) >= 1.0);
         let Some(r) = self.requests.get_mut(id) else { return false };
-        let Some(w) = self.workers.get_mut(&worker) else { return false };
+        let Some(w) = self.servers.get_mut(&server) else { return false };
         if r.attempts.is_empty() {
             self.retries = (self.retries + RETRY_EARN.0).min(RETRY_EARN.1);
             self.customers.entry(r.key.clone()).and_modify(|c| c.ceiling -= r.units);
@@ -34,18 +34,9 @@
         (w.credit, w.credit_at) = (credit - 1.0, self.now);
         self.sent_warm += f64::from(warm);
         r.held = false;
-        let (zone, cell, sent) = (w.info.zone.clone(), w.info.cell, self.now);
         let timeout = if r.uploading { r.patience } else { r.deadline - self.now };
-        r.attempts.push(Attempt {
-            worker,
-            zone,
-            cell,
-            sent,
-            out: true,
-            suspected: false,
-            may_have_run: true,
-        });
-        out.push(Action::Send { request: id.clone(), worker, timeout });
+        r.attempts.push(Attempt::begun(&w.info, self.now));
+        out.push(Action::Send { request: id.clone(), server, timeout });
         true
     }
 
@@ -55,10 +46,10 @@
         let Some(a) = r.attempts.get_mut(done.attempt).filter(|a| a.out) else { return };
         a.out = false;
         a.may_have_run = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
-        let (worker, sent) = (a.worker, a.sent);
+        let (server, sent) = (a.server, a.sent);
         let (class_ix, key, units, aim) = (r.class_ix, r.key.clone(), r.units, r.class.aim);
         let true_units = done.true_units.filter(|n| n.is_finite() && !r.beyond);
-        self.learn(worker, class_ix, aim, outcome, sent);
+        self.learn(server, class_ix, aim, outcome, sent);
         if let (Some(n), Outcome::Ok) = (true_units, outcome) {
             self.advance(&key);
             self.charge(&key, n - units, n - units);
@@ -97,18 +88,18 @@
             let mut running = r.attempts.iter_mut().enumerate().filter(|(_, a)| a.out);
             let (Some((n, a)), None) = (running.next(), running.next()) else { continue };
             let age = (self.now - a.sent) as f64;
-            // Lost: no answer in several typical latencies, nor any other of its class from that worker.
-            let health = self.workers.get(&a.worker).map(|w| (w.health[class_ix].answered, w.slow));
+            // Lost: no answer in several typical latencies, nor any other of its class from that server.
+            let health = self.servers.get(&a.server).map(|w| (w.health[class_ix].answered, w.slow));
             let (answered, slow) = health.unwrap_or((0, 1.0));
             let lost = age > SILENT * slow.clamp(1.0, 2.0) * self.typical[class_ix] && answered <= a.sent;
             let first = lost && !a.suspected;
             a.suspected |= lost;
-            let worker = a.worker;
+            let server = a.server;
             let barred = r.streaming || r.spent || r.class.effect == Effect::AtMostOnce;
             let late = self.now > r.arrived + r.class.aim;
             let overdue = age > HEDGE_SHARE * r.class.aim as f64;
             if first {
-                self.strike(worker, class_ix);
+                self.strike(server, class_ix);
             }
             if barred || late || self.retries < 1.0 || !(lost || overdue) {
                 continue;
--- a/crates/decisions/src/gatekeeper/ceilings.rs
+++ b/crates/decisions/src/gatekeeper/ceilings.rs
@@ -6,8 +6,8 @@
 
 /// Fills a customer's part up to the present. Once a successor has the other half, nothing comes to it.
 pub(super) fn fill(c: &mut Customer, p: &Plan, now: Micros, retired: bool) {
-    let depth = (p.ceiling_burst + p.ceiling_slack * SLACK_USED) / c.gateways;
-    let fill = if retired { 0.0 } else { p.ceiling_rate / c.gateways * secs(now - c.ceiling_at) };
+    let depth = (p.ceiling_burst + p.ceiling_slack * SLACK_USED) / c.gatekeepers;
+    let fill = if retired { 0.0 } else { p.ceiling_rate / c.gatekeepers * secs(now - c.ceiling_at) };
     (c.ceiling, c.ceiling_at) = ((c.ceiling + fill).min(depth), now);
 }
 
--- a/crates/decisions/src/gatekeeper/counter.rs
+++ b/crates/decisions/src/gatekeeper/counter.rs
@@ -55,7 +55,7 @@
         stands_for
     }
 
-    /// The pace of calls is what all gateways together find to succeed: slower after each failure or late
+    /// The pace of calls is what all gatekeepers together find to succeed: slower after each failure or late
     /// answer, quickly back to the pace that was good before an outage, faster while answers are quick.
     fn pace(&mut self, ok: bool, took: Micros) {
         let part = took as f64 / self.set.counter_timeout.max(1) as f64;
--- a/crates/decisions/src/gatekeeper/customers.rs
+++ b/crates/decisions/src/gatekeeper/customers.rs
@@ -30,26 +30,26 @@
 
     /// Finds or makes the customer's entry. A full table gives strangers one strict entry for each plan, so
     /// that a scan of one-time names never evicts those who are boxed.
-    pub(super) fn enter(&mut self, plan: usize, customer: CustomerId, gateways: u32) -> Key {
+    pub(super) fn enter(&mut self, plan: usize, customer: CustomerId, gatekeepers: u32) -> Key {
         let mut key = (plan, customer);
         if !self.customers.contains_key(&key) && self.customers.len() >= TABLE_MAX {
             key.1 = CustomerId(String::new());
         }
         let p = &self.set.plans[plan];
-        let n = f64::from(gateways.max(1));
+        let n = f64::from(gatekeepers.max(1));
         let c = self.customers.entry(key.clone()).or_insert_with(|| Customer {
-            gateways: n,
+            gatekeepers: n,
             shift: hash(&key.1 .0) % WINDOW_MAX as u64,
             level: p.burst / n,
             at: self.now,
             read_at: self.now,
             others_rate: p.rate * (1.0 - 1.0 / n),
-            // Whatever this gateway's former life drew, it cannot have drawn since it started: the local
+            // Whatever this gatekeeper's former life drew, it cannot have drawn since it started: the local
             // share is taken as spent at the start, however late the customer shows up.
             ceiling_at: if self.retired { self.now } else { self.started },
             ..Customer::default()
         });
-        c.gateways = c.gateways.max(n);
+        c.gatekeepers = c.gatekeepers.max(n);
         c.seen = self.now;
         self.advance(&key);
         key
@@ -67,7 +67,7 @@
             (c.cur, c.slot, c.pending) = (Slot::default(), slot, c.pending.max(0.0));
         }
         let dt = secs(now - c.at);
-        let others = c.others_rate.min(p.rate * (1.0 - OWN_LEAST / c.gateways));
+        let others = c.others_rate.min(p.rate * (1.0 - OWN_LEAST / c.gatekeepers));
         // Past a window of silence nothing more is known than a window's use.
         c.predicted = (c.predicted + others * dt).min(others * window / 1e6);
         c.level = (c.level + (p.rate - others) * dt).min(p.burst);
--- a/crates/decisions/src/gatekeeper/guards.rs
+++ b/crates/decisions/src/gatekeeper/guards.rs
@@ -5,8 +5,8 @@
 const KEY_MARGIN: Micros = 50_000;
 
 impl Gatekeeper {
-    /// Whether a request may go to a worker now, as far as any rule is concerned.
-    pub(super) fn may_send(&self, r: &Open, w: &Worker) -> bool {
+    /// Whether a request may go to a server now, as far as any rule is concerned.
+    pub(super) fn may_send(&self, r: &Open, w: &Server) -> bool {
         let again = !r.attempts.is_empty();
         let tries_left = r.attempts.len() < self.set.limits.max_attempts && !(again && r.spent);
         let over = r.closed || r.streaming || (self.now >= r.deadline && !r.uploading);
--- a/crates/decisions/src/gatekeeper/handover.rs
+++ b/crates/decisions/src/gatekeeper/handover.rs
@@ -6,8 +6,8 @@
 const HANDED_MAX: usize = 20_000;
 
 impl Gatekeeper {
-    /// Hands over to a successor, which is this gateway from now on. What still comes here goes by what is
-    /// kept: half of each ceiling's store, of which nothing fills anew, and no cold worker.
+    /// Hands over to a successor, which is this gatekeeper from now on. What still comes here goes by what is
+    /// kept: half of each ceiling's store, of which nothing fills anew, and no cold server.
     pub fn hand_over(&mut self, now: Micros) -> Handover {
         self.now = self.now.max(now);
         let mut keys: Vec<Key> = self.customers.keys().cloned().collect();
@@ -28,7 +28,7 @@
             // Customers that it is not told of have a full store, unless some had to be left out.
             started: if whole { self.started } else { self.now },
             customers,
-            workers: self.workers.values().map(|w| Record::of(w, self.credit(w), self.now)).collect(),
+            servers: self.servers.values().map(|w| Record::of(w, self.credit(w), self.now)).collect(),
             typical: self.typical.clone(),
             usual: self.usual.clone(),
             pressure: (self.pressure, self.unpressed, self.limit),
@@ -51,20 +51,20 @@
         let plans = self.set.plans.len();
         self.customers.extend(told.customers.into_iter().filter(|(key, _)| key.0 < plans).take(TABLE_MAX));
         let classes = self.typical.len();
-        for r in told.workers.into_iter().filter(|r| r.health.len() == classes) {
-            if let Some(w) = self.workers.get_mut(&r.id).filter(|w| w.info.started == r.started) {
+        for r in told.servers.into_iter().filter(|r| r.health.len() == classes) {
+            if let Some(w) = self.servers.get_mut(&r.id).filter(|w| w.info.started == r.started) {
                 r.restore(w);
             }
         }
     }
 
-    /// The successor is no more: this process is the gateway again. What it handed over counts as spent.
+    /// The successor is no more: this process is the gatekeeper again. What it handed over counts as spent.
     pub fn carry_on(&mut self, now: Micros) {
         self.now = self.now.max(now);
         let keys: Vec<Key> = self.customers.keys().cloned().collect();
         keys.iter().for_each(|key| self.advance(key));
         (self.retired, self.started) = (false, self.now);
-        for w in self.workers.values_mut() {
+        for w in self.servers.values_mut() {
             (w.credit, w.credit_at) = (0.0, self.now);
         }
     }
--- a/crates/decisions/src/gatekeeper/health.rs
+++ b/crates/decisions/src/gatekeeper/health.rs
@@ -1,34 +1,34 @@
 //! What answers and failures say of a server, and of the in-flight limit of all.
 use super::*;
 
-/// Weights of a new sample in the learned latency of a class and in a worker's slowness.
+/// Weights of a new sample in the learned latency of a class and in a server's slowness.
 pub(super) const LEARN: (f64, f64) = (0.05, 0.15);
-/// Avoidance of a worker for a class that failed there, µs: at the least, and at the most. It lasts until the
-/// next of our requests would meet the worker by chance, and doubles with each failure, thrice at the most.
+/// Avoidance of a server for a class that failed there, µs: at the least, and at the most. It lasts until the
+/// next of our requests would meet the server by chance, and doubles with each failure, thrice at the most.
 const EJECT_FOR: (f64, f64) = (1e6, 30e6);
 /// Good answers, one at a time, that make up for one failure.
 const STRIKE: u32 = 3;
-/// Samples, and µs after which they count a third, at which a worker's own record weighs as much as the mean.
+/// Samples, and µs after which they count a third, at which a server's own record weighs as much as the mean.
 const TRUST: (f64, f64) = (2.0, 10e6);
 
 impl Gatekeeper {
-    /// Answers behind a worker's record, less by their age.
-    fn samples(&self, w: &Worker) -> f64 {
+    /// Answers behind a server's record, less by their age.
+    fn samples(&self, w: &Server) -> f64 {
         w.samples * (-(self.now.saturating_sub(w.at) as f64) / TRUST.1).exp()
     }
 
-    /// A worker's slowness, drawn to the mean where few or old answers speak for it.
-    pub(super) fn slow_of(&self, w: &Worker) -> f64 {
+    /// A server's slowness, drawn to the mean where few or old answers speak for it.
+    pub(super) fn slow_of(&self, w: &Server) -> f64 {
         1.0 + (w.slow - 1.0) * self.samples(w) / (self.samples(w) + TRUST.0)
     }
 
-    pub(super) fn learn(&mut self, id: WorkerId, class: usize, aim: Micros, outcome: Outcome, sent: Micros) {
+    pub(super) fn learn(&mut self, id: ServerId, class: usize, aim: Micros, outcome: Outcome, sent: Micros) {
         let (now, latency) = (self.now, (self.now - sent) as f64);
         let used = self.comes_back(latency);
-        let Some(w) = self.workers.get(&id) else { return };
+        let Some(w) = self.servers.get(&id) else { return };
         let (cold, slow, samples) = (self.coldness(w, now), self.slow_of(w), self.samples(w));
         let typical = &mut self.typical[class];
-        let Some(w) = self.workers.get_mut(&id) else { return };
+        let Some(w) = self.servers.get_mut(&id) else { return };
         w.inflight = (w.inflight - 1.0).max(0.0);
         if matches!(outcome, Outcome::Cancelled | Outcome::NotSent | Outcome::Timeout) {
             return;
@@ -44,10 +44,10 @@
             if h.strikes == 0 {
                 h.avoid_until = now;
             }
-            // What a warm worker would have taken.
+            // What a warm server would have taken.
             let latency = latency * cold;
             w.slow += ((latency / *typical).min(10.0) - w.slow) * LEARN.1;
-            // The first answers weigh more: they come from workers without queues.
+            // The first answers weigh more: they come from servers without queues.
             self.answers += 1.0;
             let first = 1.0 / (self.answers + 1.0);
             *typical += (latency.max(100.0) - *typical) * LEARN.0.max(first);
@@ -64,12 +64,12 @@
         }
     }
 
-    /// A worker that failed a class is avoided for it; one that fails two, for all. It covers fast failures,
-    /// silence and workers that fail one class only. Harm: a chance failure costs one worker for a meeting.
-    pub(super) fn strike(&mut self, id: WorkerId, class_ix: usize) {
+    /// A server that failed a class is avoided for it; one that fails two, for all. It covers fast failures,
+    /// silence and servers that fail one class only. Harm: a chance failure costs one server for a meeting.
+    pub(super) fn strike(&mut self, id: ServerId, class_ix: usize) {
         let meeting = self.send_gap * self.near as f64;
         let now = self.now;
-        let Some(h) = self.workers.get_mut(&id).and_then(|w| w.health.get_mut(class_ix)) else { return };
+        let Some(h) = self.servers.get_mut(&id).and_then(|w| w.health.get_mut(class_ix)) else { return };
         if now >= h.avoid_until {
             let span = EJECT_FOR.0.max(meeting) * f64::from(1u32 << (h.strikes / STRIKE).min(3));
             h.avoid_until = now + span.min(EJECT_FOR.1) as Micros;
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Avoided workers get nothing; one on trial gets one repeatable request at a time.
-    pub(super) fn healthy(&self, r: &Open, w: &Worker) -> bool {
+    /// Avoided servers get nothing; one on trial gets one repeatable request at a time.
+    pub(super) fn healthy(&self, r: &Open, w: &Server) -> bool {
         let avoided = w.health.iter().filter(|h| self.now < h.avoid_until).count();
         let h = &w.health[r.class_ix];
         let trial_ok = h.strikes == 0 || (w.inflight == 0.0 && r.class.effect != Effect::AtMostOnce);
--- a/crates/decisions/src/gatekeeper/mod.rs
+++ b/crates/decisions/src/gatekeeper/mod.rs
@@ -23,10 +23,10 @@
 
 /// Housekeeping period, µs: short against any aim, long against the clock's resolution.
 const TICK: Micros = 10_000;
-/// Pace of calls at the start, µs between two calls of all gateways together: each keeps its part of it.
+/// Pace of calls at the start, µs between two calls of all gatekeepers together: each keeps its part of it.
 const CALL_START: f64 = 2_000.0;
 
-/// The decisions of one gateway.
+/// The decisions of one gatekeeper.
 #[derive(Default)]
 pub struct Gatekeeper {
     set: Settings,
@@ -42,20 +42,20 @@
     call_failed: bool,
     counted: f64,
     uncounted: f64,
-    workers: BTreeMap<WorkerId, Worker>,
-    /// Those that may get something new, in the order of all from this gateway's own place on; to how many of
-    /// the first it sends by choice.
-    ready: Vec<WorkerId>,
+    servers: BTreeMap<ServerId, Server>,
+    /// Those that may get something new, in the order of all from this gatekeeper's own place on; to how many
+    /// of the first it sends by choice.
+    ready: Vec<ServerId>,
     near: usize,
-    /// How many warm workers all that are listed are worth.
+    /// How many warm servers all that are listed are worth.
     strength: f64,
-    /// Sends to warm workers in this second, and how many of ours one of them gets in a second,
+    /// Sends to warm servers in this second, and how many of ours one of them gets in a second,
     /// by how many looks.
     sent_warm: f64,
     carried: f64,
     looks: f64,
     /// Left out by hand, and since when.
-    left_out: BTreeMap<WorkerId, Micros>,
+    left_out: BTreeMap<ServerId, Micros>,
     requests: BTreeMap<RequestId, Open>,
     held: VecDeque<RequestId>,
     timers: BTreeMap<u64, RequestId>,
@@ -71,7 +71,7 @@
     /// Mean time between our own sends, µs, and the last of them.
     send_gap: f64,
     sent_at: Micros,
-    /// In-flight limit of the mean worker, as learned from all; what is out; when it was last cut.
+    /// In-flight limit of the mean server, as learned from all; what is out; when it was last cut.
     limit: f64,
     out: f64,
     cut_at: Micros,
@@ -93,7 +93,7 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         Gatekeeper {
             set: settings,
-            // Gateways that start together do not call together.
+            // Gatekeepers that start together do not call together.
             call_after: now as f64 + rng.f64() * n * CALL_START,
             rng,
             now,
@@ -119,12 +119,12 @@
             out.extend(self.set.subscribe.then_some(Action::Subscribe));
         }
         match event {
-            Event::Workers(list) => self.on_workers(list, out),
-            Event::ByHand { worker, out: true } => {
-                self.left_out.entry(worker).or_insert(self.now);
+            Event::Servers(list) => self.on_servers(list, out),
+            Event::ByHand { server, out: true } => {
+                self.left_out.entry(server).or_insert(self.now);
                 self.find_ready();
             }
-            Event::ByHand { worker, out: false } => self.put_back(worker, out),
+            Event::ByHand { server, out: false } => self.put_back(server, out),
             Event::Request(request) => self.on_request(request, out),
             Event::Timer(TimerToken(0)) => self.on_tick(out),
             Event::Whole(id) => self.on_whole(&id, out),
--- a/crates/decisions/src/gatekeeper/quotas.rs
+++ b/crates/decisions/src/gatekeeper/quotas.rs
@@ -8,7 +8,7 @@
 const FRESH: Micros = 5_000;
 
 impl Gatekeeper {
-    /// Units of the last window, all gateways together, as far as known.
+    /// Units of the last window, all gatekeepers together, as far as known.
     pub(super) fn count(&self, c: &Customer, window: f64) -> f64 {
         let left = 1.0 - ((self.now + c.shift) % window as u64) as f64 / window;
         let last = (c.prev.mine + c.prev.others) * left;
@@ -24,7 +24,7 @@
         let c = self.customers.get_mut(key)?;
         if p.open > 0.0 {
             let (mine, all) = (c.cur.mine + c.prev.mine + c.pending, c.cur.others + c.prev.others);
-            let share = if c.known && mine + all > 0.0 { mine / (mine + all) } else { 1.0 / c.gateways };
+            let share = if c.known && mine + all > 0.0 { mine / (mine + all) } else { 1.0 / c.gatekeepers };
             if c.open >= (p.open * share).floor().max(1.0) {
                 return Some(longest.min(window as Micros / 4));
             }
@@ -32,8 +32,8 @@
         if p.rate <= 0.0 {
             return None;
         }
-        let part = p.burst / c.gateways;
-        // Until a total is read the others are taken to use as much as this gateway.
+        let part = p.burst / c.gatekeepers;
+        // Until a total is read the others are taken to use as much as this gatekeeper.
         if count > if c.known { p.burst } else { part.max(units) } {
             c.boxed_until = now + window as Micros;
         }
@@ -45,7 +45,7 @@
         if part < units && dice * units < c.level && !(c.known && now <= c.read_at + FRESH) {
             return None;
         }
-        let gain = (p.rate - c.others_rate).max(p.rate / c.gateways / 2.0);
+        let gain = (p.rate - c.others_rate).max(p.rate / c.gatekeepers / 2.0);
         Some((((units - c.level) / gain * 1e6) as Micros).min(longest))
     }
 
--- a/crates/decisions/src/gatekeeper/requests.rs
+++ b/crates/decisions/src/gatekeeper/requests.rs
@@ -24,7 +24,7 @@
             return out.push(Action::Refuse { request: r.id, retry_after: 0 });
         };
         let units = if r.units.is_finite() { r.units.max(0.0) } else { 1.0 };
-        let key = self.enter(plan.0, r.customer, r.gateways);
+        let key = self.enter(plan.0, r.customer, r.gatekeepers);
         let (id, arrived, patience) = (r.id, self.now, r.time_left);
         let (deadline, uploading) = (arrived + patience, !r.whole);
         let open = Open { key: key.clone(), class, class_ix, units, arrived, ..Open::default() };
--- a/crates/decisions/src/gatekeeper/room.rs
+++ b/crates/decisions/src/gatekeeper/room.rs
@@ -2,21 +2,21 @@
 use super::health::LEARN;
 use super::*;
 
-/// In-flight limit of one worker over all gateways, requests: at start, least, most, and growth with a good
-/// answer. Each gateway holds its even part, over all workers where it is below one at each.
+/// In-flight limit of one server over all gatekeepers, requests: at start, least, most, and growth with a
+/// good answer. Each gatekeeper holds its even part, over all servers where it is below one at each.
 pub(super) const INFLIGHT: (f64, f64, f64, f64) = (4.0, 0.9, 96.0, 0.15);
 /// What a slow answer leaves of the limit, ten ticks apart at least.
 const INFLIGHT_CUT: f64 = 0.92;
 /// Part of the aim past which an answer counts as slow and cuts the in-flight limit.
 const LATE_SHARE: f64 = 0.5;
-/// Multiple of the unloaded latency past which a worker counts as held full, and the growth of the unloaded
+/// Multiple of the unloaded latency past which a server counts as held full, and the growth of the unloaded
 /// latency with each answer, so that a changed fleet is learned anew.
 const QUEUED: (f64, f64) = (2.3, 1.0001);
-/// Part of the aim a request may be held for want of a worker before it is refused.
+/// Part of the aim a request may be held for want of a server before it is refused.
 const HOLD_SHARE: f64 = 0.12;
 
 impl Gatekeeper {
-    /// What this gateway may have out in all.
+    /// What this gatekeeper may have out in all.
     pub(super) fn room(&self) -> f64 {
         self.limit * self.strength / self.instances()
     }
@@ -29,7 +29,7 @@
         self.out + 1.0 >= room / 2.0
     }
 
-    /// Learns from a good answer of a worker that is so slow; `first` is the weight of one among all answers.
+    /// Learns from a good answer of a server that is so slow; `first` is the weight of one among all answers.
     pub(super) fn learn_limit(
         &mut self,
         latency: f64,
@@ -50,7 +50,7 @@
         slow_down
     }
 
-    /// Workers held full lose most of their speed, and stay slow until they are left more alone.
+    /// Servers held full lose most of their speed, and stay slow until they are left more alone.
     pub(super) fn cut_limit(&mut self) {
         if self.now > self.cut_at + 10 * TICK {
             (self.limit, self.cut_at) = ((self.limit * INFLIGHT_CUT).max(INFLIGHT.1), self.now);
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Held requests go out as workers get room, the newest first: in a long overload a queue served in order
+    /// Held requests go out as servers get room, the newest first: in a long overload a queue served in order
     /// hands every place to the class that may wait longest, and serves it late. The old are refused early.
     pub(super) fn release_held(&mut self, out: &mut Vec<Action>) {
         let mut waiting = VecDeque::new();
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,7 +1,7 @@
-//! The decisions of a gateway that keeps each customer of a shared back end to its plan.
+//! The decisions of a gatekeeper that keeps each customer of a shared back end to its plan.
 //!
 //! [`Gatekeeper`] is a state machine without input or output of its own: time, the random seed and every
-//! event come in, actions go out. One instance runs in each gateway process; instances share nothing but
+//! event come in, actions go out. One instance runs in each gatekeeper process; instances share nothing but
 //! the counter service that the actions address. `docs/design.md` explains the mechanism.
 //!
 //! ```
@@ -19,9 +19,9 @@
 //! let mut actions = Vec::new();
 //! gatekeeper.handle(
 //!     now,
-//!     Event::Workers(WorkerList {
+//!     Event::Servers(ServerList {
 //!         scope: ListScope::Full,
-//!         workers: vec![WorkerInfo::ready(WorkerId(7))],
+//!         servers: vec![ServerInfo::ready(ServerId(7))],
 //!     }),
 //!     &mut actions,
 //! );
@@ -33,13 +33,13 @@
 //!         class: Some(ClassId(0)),
 //!         plan: Some(PlanId(0)),
 //!         units: 1.0,
-//!         gateways: 2,
+//!         gatekeepers: 2,
 //!         time_left: 2_000_000,
 //!         whole: true,
 //!     }),
 //!     &mut actions,
 //! );
-//! assert!(actions.iter().any(|a| matches!(a, Action::Send { worker: WorkerId(7), .. })));
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: ServerId(7), .. })));
 //! ```
 
 mod api;
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -1,5 +1,5 @@
 //! How the settings are written down, as `path=value` pairs: one mapping for the wire and for the
-//! gateway's configuration, whose nested form [`flatten`] brings into pairs. No decisions.
+//! gatekeeper's configuration, whose nested form [`flatten`] brings into pairs. No decisions.
 
 use crate::*;
 use serde_json::Value;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -16,7 +16,8 @@
 #[derive(Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Customer {
-    pub gateways: f64,
+    #[serde(rename = "gateways")]
+    pub gatekeepers: f64,
     /// Moves this customer's slots, so that not all customers start one at the same time.
     pub shift: Micros,
     pub slot: u64,
@@ -50,7 +51,7 @@
     pub prepaid: f64,
 }
 
-/// What one class of requests met at one worker.
+/// What one class of requests met at one server.
 #[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Health {
     pub answered: Micros,
@@ -59,8 +60,8 @@
 }
 
 #[derive(Default)]
-pub struct Worker {
-    pub info: WorkerInfo,
+pub struct Server {
+    pub info: ServerInfo,
     /// When it was last put back by hand.
     pub returned: Option<Micros>,
     pub inflight: f64,
@@ -71,14 +72,14 @@
     pub health: Vec<Health>,
     pub credit: f64,
     pub credit_at: Micros,
-    /// Whether it is one of those that this gateway sends to by choice.
+    /// Whether it is one of those that this gatekeeper sends to by choice.
     pub near: bool,
 }
 
-impl Worker {
+impl Server {
     /// One of which nothing is known yet, among so many classes.
-    pub fn new(info: WorkerInfo, classes: usize) -> Worker {
-        Worker { info, slow: 1.0, health: vec![Health::default(); classes], ..Worker::default() }
+    pub fn new(info: ServerInfo, classes: usize) -> Server {
+        Server { info, slow: 1.0, health: vec![Health::default(); classes], ..Server::default() }
     }
 
     /// Whether it gets nothing for now of most classes, as it failed them.
@@ -89,14 +90,16 @@
     }
 }
 
-/// What a gateway's next process has to know, to go on where the last one stopped.
+/// What a gatekeeper's next process has to know, to go on where the last one stopped. Names on the wire stay
+/// as they were: a process of another version may read them.
 #[derive(Default, Serialize, Deserialize)]
 pub struct Handover {
-    /// The clock, and when the gateway started.
+    /// The clock, and when the gatekeeper started.
     pub(crate) now: Micros,
     pub(crate) started: Micros,
     pub(crate) customers: Vec<(Key, Customer)>,
-    pub(crate) workers: Vec<Record>,
+    #[serde(rename = "workers")]
+    pub(crate) servers: Vec<Record>,
     pub(crate) typical: Vec<f64>,
     pub(crate) usual: Vec<(Micros, u32)>,
     /// Pressure, now and unloaded, and the in-flight limit.
@@ -108,9 +111,9 @@
 }
 
 impl Handover {
-    /// Gives the workers the ids that they have here; those without one are left out.
-    pub fn translate(&mut self, ids: &HashMap<WorkerId, WorkerId>) {
-        self.workers.retain_mut(|record| match ids.get(&record.id) {
+    /// Gives the servers the ids that they have here; those without one are left out.
+    pub fn translate(&mut self, ids: &HashMap<ServerId, ServerId>) {
+        self.servers.retain_mut(|record| match ids.get(&record.id) {
             Some(id) => {
                 record.id = *id;
                 true
@@ -120,10 +123,10 @@
     }
 }
 
-/// What is known of a worker.
+/// What is known of a server.
 #[derive(Serialize, Deserialize)]
 pub(crate) struct Record {
-    pub id: WorkerId,
+    pub id: ServerId,
     pub started: Option<Micros>,
     pub returned: Option<Micros>,
     pub slow: f64,
@@ -136,7 +139,7 @@
 
 impl Record {
     /// What there is to tell, with the credit that it has now.
-    pub fn of(w: &Worker, credit: f64, now: Micros) -> Record {
+    pub fn of(w: &Server, credit: f64, now: Micros) -> Record {
         Record {
             id: w.info.id,
             started: w.info.started,
@@ -150,15 +153,15 @@
         }
     }
 
-    /// Makes a worker what was told of it.
-    pub fn restore(self, w: &mut Worker) {
+    /// Makes a server what was told of it.
+    pub fn restore(self, w: &mut Server) {
         (w.slow, w.samples, w.at, w.health) = (self.slow, self.samples, self.at, self.health);
         (w.credit, w.credit_at, w.returned) = (self.credit, self.credit_at, self.returned);
     }
 }
 
 pub struct Attempt {
-    pub worker: WorkerId,
+    pub server: ServerId,
     pub zone: Zone,
     pub cell: u64,
     pub sent: Micros,
@@ -168,6 +171,14 @@
     pub may_have_run: bool,
 }
 
+impl Attempt {
+    /// One that is sent now.
+    pub fn begun(to: &ServerInfo, now: Micros) -> Attempt {
+        let (server, zone, cell) = (to.id, to.zone.clone(), to.cell);
+        Attempt { server, zone, cell, sent: now, out: true, suspected: false, may_have_run: true }
+    }
+}
+
 #[derive(Default)]
 pub struct Open {
     pub key: Key,
@@ -211,7 +222,7 @@
     span as f64 / 1e6
 }
 
-/// The same name at every gateway: customer and slot. Long names are cut and told apart by a hash.
+/// The same name at every gatekeeper: customer and slot. Long names are cut and told apart by a hash.
 pub fn counter_name(key: &Key, slot: u64) -> CounterName {
     let name = &key.1 .0;
     if name.len() <= 40 {
@@ -220,7 +231,7 @@
     CounterName(format!("~{:016x}.{slot}", hash(&key.1 .0)))
 }
 
-/// FNV, the same at every gateway.
+/// FNV, the same at every gatekeeper.
 pub fn hash(name: &str) -> u64 {
     let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100000001b3);
     name.bytes().fold(0xcbf29ce484222325, mix)
--- a/crates/gatekeeper/src/clients/connections.rs
+++ b/crates/gatekeeper/src/clients/connections.rs
@@ -1,4 +1,5 @@
-//! Whose connections may stay, and for how long: one manager for all that clients open. No I/O; time is passed in.
+//! Whose connections may stay, and for how long: one manager for all that clients open. No I/O; time is
+//! passed in.
 
 use crate::times;
 use std::collections::BTreeMap;
@@ -103,8 +104,9 @@
 }
 
 impl Conn {
-    /// The order in which those that can make room do: newcomers without a byte, clients between two requests,
-    /// heads that have had their time; for one whose share is `short` of what it is owed also any head that hangs.
+    /// The order in which those that can make room do: newcomers without a byte, clients between two
+    /// requests, heads that have had their time; for one whose share is `short` of what it is owed also any
+    /// head that hangs.
     fn makes_room(&self, now: Instant, short: bool) -> Option<u8> {
         match self.state {
             _ if self.ends => None,
@@ -176,8 +178,8 @@
     In,
     /// It is told when it has one.
     Waits,
-    /// There are too many that wait: this one, of the source with most, is closed: the longest there without a
-    /// byte, else the newest.
+    /// There are too many that wait: this one, of the source with most, is closed: the longest there without
+    /// a byte, else the newest.
     Crowded(u64),
 }
 
@@ -260,9 +262,9 @@
         self.seen_from(than, source).share() >= BY_FAR * (self.seen_from(source, than).share() + 1)
     }
 
-    /// Whether another newcomer is to be looked at. With the room for waiting full, only where one source has by
-    /// far the most, which has to let others through, or where the places are held by what hangs; else newcomers
-    /// wait in the system's line, as those of a source whose requests are at work should.
+    /// Whether another newcomer is to be looked at. With the room for waiting full, only where one source has
+    /// by far the most, which has to let others through, or where the places are held by what hangs; else
+    /// newcomers wait in the system's line, as those of a source whose requests are at work should.
     pub fn accepts(&self, now: Instant) -> bool {
         let waiting = self.waiting();
         if waiting < self.limits.waiting {
@@ -277,7 +279,8 @@
         looks && waiting == self.limits.waiting && self.ending() < waiting
     }
 
-    /// Somebody connects. `silent` tells of those that wait, and of this one, whether nothing has come from them.
+    /// Somebody connects. `silent` tells of those that wait, and of this one, whether nothing has come from
+    /// them.
     pub fn arrive(&mut self, now: Instant, from: IpAddr, silent: impl Fn(u64) -> bool) -> (u64, Entry) {
         self.turn += 1;
         let number = self.turn;
@@ -316,8 +319,8 @@
     }
 
     /// Who is to be ended for those that wait: for each one, of the source with most connections that has one
-    /// to give and no fewer than the waiting one's, what loses least. To be called whenever one comes, and every
-    /// [`times::ROOM`] while any waits.
+    /// to give and no fewer than the waiting one's, what loses least. To be called whenever one comes, and
+    /// every [`times::ROOM`] while any waits.
     pub fn make_room(&mut self, now: Instant) -> Vec<u64> {
         let hang = self.conns.values().filter(|conn| conn.hangs(now)).count();
         if 2 * hang >= self.limits.all {
@@ -354,8 +357,8 @@
         self.least_lost(now, |conn| (conn.source == from || (!full && gives(conn.source))).then_some(false))
     }
 
-    /// What loses least, of the source with most connections among those that give, and are asked to as by one
-    /// that is short of its share or not.
+    /// What loses least, of the source with most connections among those that give, and are asked to as by
+    /// one that is short of its share or not.
     fn least_lost(&self, now: Instant, gives: impl Fn(&Conn) -> Option<bool>) -> Option<u64> {
         let all = self.conns.iter();
         let can = all.filter_map(|(number, conn)| Some((conn.makes_room(now, gives(conn)?)?, number, conn)));
@@ -537,7 +540,8 @@
         late
     }
 
-    /// The figures: by state, by reason of closing, and how many sources there are and what one holds at most.
+    /// The figures: by state, by reason of closing, and how many sources there are and what one holds at
+    /// most.
     pub fn figures(&self) -> Vec<(String, u64)> {
         let mut states = BTreeMap::from([("busy", 0), ("head", 0), ("idle", 0), ("new", 0), ("waiting", 0)]);
         for conn in self.conns.values() {
@@ -812,11 +816,11 @@
         Keeps,
     }
 
-    /// A source that asks for one connection now and then, and keeps another, beside a flood that fills places, room
-    /// and the system's line, from one address or from all of a network. A newcomer of the quiet one is in after
-    /// what it takes the flood to hang, twice: once until the line is looked through, once for a place; and the time
-    /// in which the line's length is taken in. None of its connections is ended where there are places enough that
-    /// the flood has by far the most.
+    /// A source that asks for one connection now and then, and keeps another, beside a flood that fills
+    /// places, room and the system's line, from one address or from all of a network. A newcomer of the quiet
+    /// one is in after what it takes the flood to hang, twice: once until the line is looked through, once
+    /// for a place; and the time in which the line's length is taken in. None of its connections is ended
+    /// where there are places enough that the flood has by far the most.
     #[test]
     fn a_quiet_newcomer_waits_for_a_bounded_time_beside_any_flood() {
         const LINE: usize = 1_024;
--- a/crates/gatekeeper/src/clients/framing.rs
+++ b/crates/gatekeeper/src/clients/framing.rs
@@ -1,4 +1,5 @@
-//! Watches the bytes of a request's head for two framings at once, which the HTTP library resolves in silence.
+//! Watches the bytes of a request's head for two framings at once, which the HTTP library resolves in
+//! silence.
 
 /// The longest name that tells of a framing, with its colon.
 const NAME_MAX: usize = 18;
--- a/crates/gatekeeper/src/clients/side.rs
+++ b/crates/gatekeeper/src/clients/side.rs
@@ -66,13 +66,13 @@
 struct ClientIo {
     stream: TcpStream,
     client: Rc<Client>,
-    server: Rc<Server>,
+    side: Rc<ClientSide>,
 }
 
 impl ClientIo {
     fn note_write(&self, polled: &Poll<io::Result<usize>>) {
         if matches!(polled, Poll::Ready(Ok(_))) && self.client.busy.get() {
-            self.server.manager.borrow_mut().took(self.client.number, now());
+            self.side.manager.borrow_mut().took(self.client.number, now());
         }
     }
 }
@@ -85,7 +85,7 @@
         let read = &buf.filled()[before..];
         if !(this.client.busy.get() || read.is_empty()) {
             if !this.client.in_head.replace(true) {
-                this.server.head_begins(&this.client);
+                this.side.head_begins(&this.client);
             }
             this.client.framing.borrow_mut().feed(read);
         }
@@ -136,7 +136,7 @@
 }
 
 /// The clients' side.
-pub struct Server {
+pub struct ClientSide {
     driver: Rc<Driver>,
     names: Names,
     effects: Vec<Effect>,
@@ -166,9 +166,9 @@
     refused: Cell<u64>,
 }
 
-impl Server {
+impl ClientSide {
     /// A server without clients, not ready yet.
-    pub fn new(driver: Rc<Driver>, config: &Config) -> Rc<Server> {
+    pub fn new(driver: Rc<Driver>, config: &Config) -> Rc<ClientSide> {
         let waiting = waiting(config.clients_max);
         let limits = Limits {
             all: config.clients_max - waiting,
@@ -177,7 +177,7 @@
             heads: config.heads_max,
             max_age: config.max_age,
         };
-        Rc::new(Server {
+        Rc::new(ClientSide {
             driver,
             names: config.names.clone(),
             effects: config.settings.classes.iter().map(|class| class.effect).collect(),
@@ -263,11 +263,11 @@
     pub fn retire(self: &Rc<Self>) {
         self.set_accepts(false);
         self.retired.set(true);
-        let server = self.clone();
+        let side = self.clone();
         tokio::task::spawn_local(async move {
             tokio::time::sleep(RETIRE_IDLE).await;
-            while server.retired.get() {
-                server.close_idle(false);
+            while side.retired.get() {
+                side.close_idle(false);
                 tokio::time::sleep(EVACUATE_AGAIN).await;
             }
         });
@@ -297,11 +297,11 @@
         }
         self.mode.set(Mode::Evacuating);
         self.evacuations.set(self.evacuations.get() + 1);
-        let (server, this) = (self.clone(), self.evacuations.get());
+        let (side, this) = (self.clone(), self.evacuations.get());
         tokio::task::spawn_local(async move {
             tokio::time::sleep(EVACUATE_IDLE).await;
-            while server.mode.get() == Mode::Evacuating && server.evacuations.get() == this {
-                server.close_idle(false);
+            while side.mode.get() == Mode::Evacuating && side.evacuations.get() == this {
+                side.close_idle(false);
                 tokio::time::sleep(EVACUATE_AGAIN).await;
             }
         });
@@ -333,7 +333,7 @@
             };
             match accepted {
                 Ok((stream, from)) => self.arrive(stream, from.ip()),
-                // Out of descriptors, or the client has gone already: neither may end the gateway.
+                // Out of descriptors, or the client has gone already: neither may end the gatekeeper.
                 Err(e) => {
                     note(&self.odd, format_args!("accept: {e}"));
                     self.shed();
@@ -467,47 +467,47 @@
             end: Notify::new(),
         });
         self.clients.borrow_mut().insert(number, client.clone());
-        let server = self.clone();
+        let side = self.clone();
         tokio::task::spawn_local(async move {
-            server.serve(stream, &client).await;
-            server.clients.borrow_mut().remove(&number);
-            let let_in = server.manager.borrow_mut().gone(number);
+            side.serve(stream, &client).await;
+            side.clients.borrow_mut().remove(&number);
+            let let_in = side.manager.borrow_mut().gone(number);
             for number in let_in {
-                let waiting = server.waiting.borrow_mut().remove(&number);
+                let waiting = side.waiting.borrow_mut().remove(&number);
                 if let Some((stream, from)) = waiting {
-                    server.admit(number, stream, from);
+                    side.admit(number, stream, from);
                 }
             }
-            server.left.notify_one();
+            side.left.notify_one();
         });
     }
 
     async fn serve(self: &Rc<Self>, stream: TcpStream, client: &Rc<Client>) {
         let number = client.number;
         let service = service_fn(|request| {
-            let (server, client) = (self.clone(), client.clone());
+            let (side, client) = (self.clone(), client.clone());
             client.busy.set(true);
             client.in_head.set(false);
-            server.manager.borrow_mut().begin(number);
+            side.manager.borrow_mut().begin(number);
             let framing = client.framing.take();
             async move {
-                let mut answer = server.answer(request, &client, framing.conflicts()).await;
-                let old = server.manager.borrow().is_old(number, now());
-                if old || server.mode.get() != Mode::Serving || server.retired.get() {
+                let mut answer = side.answer(request, &client, framing.conflicts()).await;
+                let old = side.manager.borrow().is_old(number, now());
+                if old || side.mode.get() != Mode::Serving || side.retired.get() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                server.manager.borrow_mut().answers(number, now());
+                side.manager.borrow_mut().answers(number, now());
                 answer.body_mut().on_done(move || {
                     client.busy.set(false);
-                    server.manager.borrow_mut().done(number, now());
+                    side.manager.borrow_mut().done(number, now());
                     // Those that wait may have found none that idles: now there is one.
-                    server.make_room();
-                    server.left.notify_one();
+                    side.make_room();
+                    side.left.notify_one();
                 });
                 Ok::<_, Infallible>(answer)
             }
         });
-        let io = ClientIo { stream, client: client.clone(), server: self.clone() };
+        let io = ClientIo { stream, client: client.clone(), side: self.clone() };
         let conn = hyper::server::conn::http1::Builder::new()
             .header_read_timeout(None)
             .half_close(self.half_close)
@@ -590,7 +590,7 @@
             return Err(bad("method and class differ"));
         }
         let customer = customer(&head.headers)?;
-        let (units, gateways) = terms(header(&head.headers, "x-call-terms")?, self.instances)?;
+        let (units, gatekeepers) = terms(header(&head.headers, "x-call-terms")?, self.instances)?;
         let patience = decimal(header(&head.headers, "request-timeout")?);
         let patience = patience.and_then(|s| Duration::try_from_secs_f64(s).ok());
         let patience = patience.ok_or(bad("bad Request-Timeout"))?;
@@ -622,7 +622,7 @@
             class: ClassId(class),
             plan: PlanId(plan),
             units,
-            gateways,
+            gatekeepers,
             // Counted from the request's last byte.
             until: Instant::now() + patience.min(self.patience_max),
             parts: Parts {
@@ -684,7 +684,7 @@
     }
 }
 
-/// Units and number of gateways, from `units=2,spread=3,first=1`.
+/// Units and number of gatekeepers, from `units=2,spread=3,first=1`.
 fn terms(text: &str, instances: u32) -> Result<(f64, u32), Bad> {
     let (mut units, mut spread) = (None, None);
     for term in text.split(',') {
--- a/crates/gatekeeper/src/config.rs
+++ b/crates/gatekeeper/src/config.rs
@@ -1,4 +1,4 @@
-//! What the gateway is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
+//! What the gatekeeper is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
 
 use granitelead_decisions::settings::{flatten, settings, Fields, Names};
 use granitelead_decisions::{Micros, Settings};
@@ -72,7 +72,7 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where the list of workers comes from: the first address, and others with the same list.
+    /// Where the list of servers comes from: the first address, and others with the same list.
     pub discovery: Vec<SocketAddr>,
     /// The least time after which another of these is asked for its version, where it is not the usual.
     pub discovery_compare: Option<Duration>,
@@ -82,34 +82,34 @@
     pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
-    /// The workers as this gateway last had them; may be old.
+    /// The servers as this gatekeeper last had them; may be old.
     pub known: HostList,
     /// What the decisions go by.
     pub settings: Settings,
     /// The names of classes and plans.
     pub names: Names,
-    /// Most connections of clients, waiting or not, and most to workers: parts of the limit on descriptors.
+    /// Most connections of clients, waiting or not, and most to servers: parts of the limit on descriptors.
     pub clients_max: usize,
     /// See `clients_max`.
-    pub workers_max: usize,
+    pub servers_max: usize,
     /// Most connections of one source of clients, and most heads being read.
     pub per_source_max: usize,
     /// See `per_source_max`.
     pub heads_max: usize,
-    /// Most connections to one worker.
-    pub per_worker_max: usize,
+    /// Most connections to one server.
+    pub per_server_max: usize,
     /// The greatest age of a client's connection, if there is one.
     pub max_age: Option<Duration>,
     /// Whether a client that ends its side after a request still waits for the answer.
     pub half_close: bool,
     /// Bytes of bodies that may be held, for all requests together: a part of the limit on memory.
     pub held_max: usize,
-    /// Where the list of workers has to be asked for, it counts as told after so long all the same.
+    /// Where the list of servers has to be asked for, it counts as told after so long all the same.
     pub ask_within: Duration,
-    /// A connection to a worker not established by then never is.
+    /// A connection to a server not established by then never is.
     pub connect_timeout: Duration,
-    /// A worker closes a connection that has been idle for so long.
-    pub worker_idle: Duration,
+    /// A server closes a connection that has been idle for so long.
+    pub server_idle: Duration,
 }
 
 /// Descriptors kept back: listeners, counter, discovery, runtime, standard streams, each one's successor, and
@@ -125,7 +125,7 @@
         Config::check(File::load(&variable)?, variable)
     }
 
-    /// Reads the file again for the addresses that may move while the gateway runs: discovery and counter.
+    /// Reads the file again for the addresses that may move while the gatekeeper runs: discovery and counter.
     /// The file goes before the variable, which is as old as the process.
     pub fn moved(
         variable: impl Fn(&str) -> Option<String>,
@@ -169,10 +169,10 @@
         let share = sockets - SPARE_SOCKETS;
         let memory = (memory * f64::from(1 << 20)) as usize;
         let held_max = file.limit_of("held_mb", memory >> 20)?.map_or(memory / 4, |mb| mb << 20);
-        let workers_max = file.limit_of("servers", share - 1)?;
-        let left = share - workers_max.unwrap_or(share / 3).min(share - 1);
+        let servers_max = file.limit_of("servers", share - 1)?;
+        let left = share - servers_max.unwrap_or(share / 3).min(share - 1);
         let clients_max = file.limit_of("clients", left)?.unwrap_or(left.min(share * 2 / 3));
-        let workers_max = workers_max.unwrap_or(share / 3);
+        let servers_max = servers_max.unwrap_or(share / 3);
         let half_close = match file.connections.get("half_close") {
             None => false,
             Some(value) => value.as_bool().ok_or_else(|| {
@@ -182,7 +182,7 @@
         Ok(Config {
             per_source_max: file.limit_of("per_source", clients_max)?.unwrap_or(clients_max),
             heads_max: file.limit_of("heads", clients_max)?.unwrap_or(clients_max),
-            per_worker_max: file.limit_of("per_server", workers_max)?.unwrap_or(workers_max),
+            per_server_max: file.limit_of("per_server", servers_max)?.unwrap_or(servers_max),
             max_age: file.limit("max_age_ms")?.map(|ms| Duration::from_millis(ms as u64)),
             half_close,
             listen: address("listen", variable("RELAY_LISTEN").or(file.listen))?,
@@ -195,12 +195,12 @@
             known: file.known,
             ask_within: Duration::from_micros(if ask_within > 0 { ask_within } else { ASK_WITHIN }),
             connect_timeout: span("limits.connectTimeoutUs")?,
-            worker_idle: span("limits.connIdleUs")?,
+            server_idle: span("limits.connIdleUs")?,
             settings,
             names,
             held_max,
             clients_max,
-            workers_max,
+            servers_max,
         })
     }
 }
--- a/crates/gatekeeper/src/counter.rs
+++ b/crates/gatekeeper/src/counter.rs
@@ -58,7 +58,8 @@
 }
 
 impl Counter {
-    /// Not connected yet; `wait` is how long a call may take, `seed` draws the waits between tries to connect.
+    /// Not connected yet; `wait` is how long a call may take, `seed` draws the waits between tries to
+    /// connect.
     pub fn new(at: Option<SocketAddr>, wait: Micros, seed: u64) -> Self {
         let (conn, owed) = (RefCell::default(), RefCell::default());
         let wait = Duration::from_micros(wait);
--- a/crates/gatekeeper/src/driver.rs
+++ b/crates/gatekeeper/src/driver.rs
@@ -3,13 +3,13 @@
 use crate::body::{Counted, Flow, Gathered, Room};
 use crate::config::Config;
 use crate::counter::{Caller, Counter};
-use crate::servers::side::{Attempted, Parts, Progress, Workers};
+use crate::servers::side::{Attempted, Parts, Progress, Servers};
 use crate::telemetry::{End, Telemetry};
 use bytes::Bytes;
 use granitelead_decisions::{
     Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Handover, Micros, Outcome, PlanId,
 };
-use granitelead_decisions::{Request, RequestId, WorkerId};
+use granitelead_decisions::{Request, RequestId, ServerId};
 use granitelead_list::follower::Listing;
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
@@ -23,7 +23,7 @@
 /// Time kept back from each client's own, so that the last moment's answer reaches it before it leaves.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 
-/// Unix time, read once: from then on it runs evenly and never goes back. All gateways share it because
+/// Unix time, read once: from then on it runs evenly and never goes back. All gatekeepers share it because
 /// the names of counts hold the number of a slot of time.
 struct Clock {
     at: Micros,
@@ -41,7 +41,7 @@
     }
 }
 
-/// A worker's good answer, on to the client.
+/// A server's good answer, on to the client.
 pub enum Body {
     /// All of it.
     Whole(Bytes),
@@ -51,13 +51,13 @@
 
 /// The one final answer to a request.
 pub enum Answer {
-    /// A worker's, with its word on what the body is.
+    /// A server's, with its word on what the body is.
     Served(Body, Option<HeaderValue>),
     /// Trying again is harmless, and best after so long.
     Refused(Micros),
     /// Nothing is promised; whether time ran out.
     Failed {
-        /// No worker answered in time.
+        /// No server answered in time.
         late: bool,
     },
 }
@@ -72,11 +72,11 @@
     pub plan: PlanId,
     /// Units, as guessed.
     pub units: f64,
-    /// Gateways that the customer's requests come through.
-    pub gateways: u32,
+    /// Gatekeepers that the customer's requests come through.
+    pub gatekeepers: u32,
     /// When the client gives up.
     pub until: Instant,
-    /// What goes on to a worker.
+    /// What goes on to a server.
     pub parts: Parts,
 }
 
@@ -91,19 +91,19 @@
 }
 
 struct Running {
-    worker: WorkerId,
+    server: ServerId,
     progress: Rc<Progress>,
     task: AbortHandle,
     sent: Instant,
 }
 
-/// The gateway's heart.
+/// The gatekeeper's heart.
 pub struct Driver {
-    /// The workers' side.
-    pub workers: Rc<Workers>,
+    /// The servers' side.
+    pub servers: Rc<Servers>,
     /// The counter's side.
     pub counter: Counter,
-    /// Where the list of workers stands.
+    /// Where the list of servers stands.
     pub listing: Rc<Listing>,
     /// What has become of all requests.
     pub telemetry: Rc<Telemetry>,
@@ -125,7 +125,7 @@
         let telemetry = Rc::new(Telemetry::new(&config.names.classes));
         let room = Room::new(config.held_max);
         Rc::new(Driver {
-            workers: Workers::new(config, telemetry.calls(), room.clone()),
+            servers: Servers::new(config, telemetry.calls(), room.clone()),
             listing: Listing::new(),
             telemetry,
             room,
@@ -159,7 +159,7 @@
 
     fn act(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Send { request, worker, timeout } => self.send(request, worker, timeout),
+            Action::Send { request, server, timeout } => self.send(request, server, timeout),
             Action::Cancel { request, attempt } => self.cancel(&request, attempt),
             Action::Refuse { request, retry_after } => {
                 self.answer(&request, |_| Answer::Refused(retry_after))
@@ -203,14 +203,14 @@
             class: Some(taken.class),
             plan: Some(taken.plan),
             units: taken.units,
-            gateways: taken.gateways,
+            gatekeepers: taken.gatekeepers,
             time_left: left.as_micros() as Micros,
             whole,
         }));
         (Ticket { driver: self.clone(), id }, answer)
     }
 
-    fn send(self: &Rc<Self>, id: RequestId, worker: WorkerId, timeout: Micros) {
+    fn send(self: &Rc<Self>, id: RequestId, server: ServerId, timeout: Micros) {
         let mut all = self.open.borrow_mut();
         let Some(open) = all.get_mut(&id) else { return };
         let (parts, n) = (open.parts.clone(), open.attempts.len());
@@ -219,14 +219,14 @@
         let (driver, told, request) = (self.clone(), progress.clone(), id.clone());
         let task = tokio::task::spawn_local(async move {
             let time = Duration::from_micros(timeout);
-            let mut attempted = driver.workers.attempt(worker, &parts, time, &told).await;
-            driver.attempt_done(&request, n, worker, &mut attempted);
-            driver.workers.give_back(worker, attempted).await;
+            let mut attempted = driver.servers.attempt(server, &parts, time, &told).await;
+            driver.attempt_done(&request, n, server, &mut attempted);
+            driver.servers.give_back(server, attempted).await;
         });
-        open.attempts.push(Some(Running { worker, progress, task: task.abort_handle(), sent }));
+        open.attempts.push(Some(Running { server, progress, task: task.abort_handle(), sent }));
     }
 
-    fn attempt_done(self: &Rc<Self>, id: &RequestId, n: usize, worker: WorkerId, attempted: &mut Attempted) {
+    fn attempt_done(self: &Rc<Self>, id: &RequestId, n: usize, server: ServerId, attempted: &mut Attempted) {
         let ended = self.open.borrow_mut().get_mut(id).and_then(|open| {
             open.late |= attempted.outcome == Outcome::Timeout;
             open.attempts.get_mut(n).and_then(Option::take)
@@ -238,7 +238,7 @@
                 Gathered::Begun(parts, rest, length) => {
                     let (driver, back) = (self.clone(), attempted.connection());
                     Body::Flow(Flow::new((parts, rest, length), move || {
-                        tokio::task::spawn_local(async move { driver.workers.give_back(worker, back).await });
+                        tokio::task::spawn_local(async move { driver.servers.give_back(server, back).await });
                     }))
                 }
             };
@@ -257,20 +257,20 @@
         self.tell_end(id, n, outcome, running.sent, None);
     }
 
-    /// Leaves a worker out by hand, or puts it back; in force once this returns.
-    pub fn by_hand(self: &Rc<Self>, worker: WorkerId, out: bool) {
-        self.workers.set_left_out(worker, out);
-        self.feed(Event::ByHand { worker, out });
+    /// Leaves a server out by hand, or puts it back; in force once this returns.
+    pub fn by_hand(self: &Rc<Self>, server: ServerId, out: bool) {
+        self.servers.set_left_out(server, out);
+        self.feed(Event::ByHand { server, out });
         self.recall_unwritten();
     }
 
-    /// Calls off what waits for a connection to a worker that takes no more work: once told of a drain,
+    /// Calls off what waits for a connection to a server that takes no more work: once told of a drain,
     /// nothing new may go out, and a connect that hangs would sit on the request for nothing.
     pub fn recall_unwritten(self: &Rc<Self>) {
         let mut recalled = Vec::new();
         for (id, open) in self.open.borrow().iter() {
             for (n, running) in open.attempts.iter().enumerate() {
-                if running.as_ref().is_some_and(|r| r.progress.waits() && !self.workers.takes_work(r.worker))
+                if running.as_ref().is_some_and(|r| r.progress.waits() && !self.servers.takes_work(r.server))
                 {
                     recalled.push((id.clone(), n));
                 }
@@ -335,9 +335,9 @@
 
     /// What operators are told when they ask for the figures; the clients' side adds its own.
     pub fn report(&self, clients: Vec<(String, u64)>) -> String {
-        let down = self.gatekeeper.borrow().workers_avoided(self.clock.now());
+        let down = self.gatekeeper.borrow().servers_avoided(self.clock.now());
         let mut more = [
-            ("hosts_listed", self.workers.listed() as u64),
+            ("hosts_listed", self.servers.listed() as u64),
             ("hosts_down", down as u64),
             ("list_rev", self.listing.rev.get()),
             ("list_epoch", self.listing.epoch.get()),
@@ -346,18 +346,18 @@
         ]
         .map(|(name, value)| (name.to_owned(), value))
         .to_vec();
-        more.extend(self.workers.figures());
+        more.extend(self.servers.figures());
         more.extend(clients);
         self.telemetry.report(&more)
     }
 
-    /// Hands what is known over to the next process of this gateway, which takes what comes from now on.
+    /// Hands what is known over to the next process of this gatekeeper, which takes what comes from now on.
     pub fn hand_over(&self) -> Handover {
         self.gatekeeper.borrow_mut().hand_over(self.clock.now())
     }
 
-    /// Takes over from the process before; `ids` are its ids of the workers and ours.
-    pub fn take_over(&self, mut told: Handover, ids: &HashMap<WorkerId, WorkerId>) {
+    /// Takes over from the process before; `ids` are its ids of the servers and ours.
+    pub fn take_over(&self, mut told: Handover, ids: &HashMap<ServerId, ServerId>) {
         told.translate(ids);
         self.gatekeeper.borrow_mut().take_over(told);
     }
--- a/crates/gatekeeper/src/lib.rs
+++ b/crates/gatekeeper/src/lib.rs
@@ -1,8 +1,9 @@
-//! One gatekeeper on real sockets: carries events to the one [`granitelead_decisions::Gatekeeper`], and its actions out.
+//! One gatekeeper on real sockets: carries events to the one [`granitelead_decisions::Gatekeeper`], and its
+//! actions out.
 //!
-//! Imports run down this list, never up: `lifecycle` (start, reload, upgrade, stop), `operators`, `clients` and `list`
-//! (the sides that bring events), `driver` (which owns the decisions), `servers` and `counter` (the sides that carry
-//! actions out), `body`, `telemetry`, `config`, `times`.
+//! Imports run down this list, never up: `lifecycle` (start, reload, upgrade, stop), `operators`, `clients`
+//! and `list` (the sides that bring events), `driver` (which owns the decisions), `servers` and `counter`
+//! (the sides that carry actions out), `body`, `telemetry`, `config`, `times`.
 
 pub mod body;
 pub mod clients;
--- a/crates/gatekeeper/src/lifecycle/handover.rs
+++ b/crates/gatekeeper/src/lifecycle/handover.rs
@@ -1,12 +1,12 @@
-//! An upgrade: the new process of this gateway finds the old one by a Unix socket, is passed its listening
+//! An upgrade: the new process of this gatekeeper finds the old one by a Unix socket, is passed its listening
 //! socket and what it knows, and takes its place.
 
-use crate::clients::side::Server;
+use crate::clients::side::ClientSide;
 use crate::driver::Driver;
 use crate::list::Book;
 use crate::operators::by_hand::ByHand;
 use granitelead_base::note;
-use granitelead_decisions::{Handover, WorkerId};
+use granitelead_decisions::{Handover, ServerId};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -38,13 +38,13 @@
 const LINE_MAX: u64 = 16 << 20;
 /// The longest queue of connections that wait to be taken.
 const BACKLOG: u32 = 1024;
-/// Descriptors that the second process needs beside its clients and workers.
+/// Descriptors that the second process needs beside its clients and servers.
 const BESIDE: usize = 16;
 
 /// What the old process knows.
 #[derive(Serialize, Deserialize)]
 struct Knowledge {
-    names: Vec<(String, WorkerId)>,
+    names: Vec<(String, ServerId)>,
     evacuates: bool,
     handover: Handover,
 }
@@ -53,10 +53,11 @@
 #[derive(Serialize, Deserialize)]
 struct Held {
     clients: usize,
-    workers: usize,
+    #[serde(rename = "workers")]
+    servers: usize,
 }
 
-/// Where the processes of this gateway meet, in the folder that they share.
+/// Where the processes of this gatekeeper meet, in the folder that they share.
 pub fn meeting_place(folder: &Path) -> PathBuf {
     folder.join(SOCKET)
 }
@@ -145,31 +146,31 @@
 /// One process's part in an upgrade.
 pub struct Upgrade {
     driver: Rc<Driver>,
-    server: Rc<Server>,
+    side: Rc<ClientSide>,
     book: Rc<Book>,
     by_hand: Rc<ByHand>,
     clients_max: usize,
-    workers_max: usize,
+    servers_max: usize,
     odd: Cell<u64>,
 }
 
 impl Upgrade {
-    /// The limits are those of the gateway, however many processes it has.
+    /// The limits are those of the gatekeeper, however many processes it has.
     pub fn new(
         driver: Rc<Driver>,
-        server: Rc<Server>,
+        side: Rc<ClientSide>,
         book: Rc<Book>,
         by_hand: Rc<ByHand>,
-        (clients_max, workers_max): (usize, usize),
+        (clients_max, servers_max): (usize, usize),
     ) -> Rc<Upgrade> {
-        Rc::new(Upgrade { driver, server, book, by_hand, clients_max, workers_max, odd: Cell::new(0) })
+        Rc::new(Upgrade { driver, side, book, by_hand, clients_max, servers_max, odd: Cell::new(0) })
     }
 
     /// Takes over from the process before, as soon as requests can be served, and from then on takes
     /// connections. Where it says nothing that can be read, this process starts from nothing.
     pub async fn take_over(self: &Rc<Self>, mut from: Predecessor) {
-        self.divide(&Held { clients: self.clients_max / 2, workers: self.workers_max / 2 });
-        self.server.until_ready().await;
+        self.divide(&Held { clients: self.clients_max / 2, servers: self.servers_max / 2 });
+        self.side.until_ready().await;
         let told = async {
             say(&mut from.write, &"ready").await?;
             line::<Knowledge>(&mut from.read).await
@@ -179,7 +180,7 @@
                 let ids = self.book.translate(known.names);
                 self.driver.take_over(known.handover, &ids);
                 if known.evacuates {
-                    self.server.evacuate();
+                    self.side.evacuate();
                 }
                 eprintln!("granitelead: taken over");
             }
@@ -188,7 +189,7 @@
             Err(_) => eprintln!("granitelead: taken over without what was known: no answer in time"),
         }
         self.by_hand.follow();
-        self.server.set_accepts(true);
+        self.side.set_accepts(true);
         let upgrade = self.clone();
         tokio::task::spawn_local(async move {
             // Until the old process has ended, which closes the connection.
@@ -196,17 +197,17 @@
                 upgrade.divide(&held);
                 upgrade.by_hand.follow();
             }
-            upgrade.divide(&Held { clients: 0, workers: 0 });
+            upgrade.divide(&Held { clients: 0, servers: 0 });
             drop(from.write);
         });
     }
 
     /// Leaves to the other process what it holds.
     fn divide(&self, held: &Held) {
-        let beside = if held.clients + held.workers > 0 { BESIDE / 2 } else { 0 };
+        let beside = if held.clients + held.servers > 0 { BESIDE / 2 } else { 0 };
         let rest = |most: usize, held: usize| most.saturating_sub(held + beside).max(1);
-        self.server.set_clients_max(rest(self.clients_max, held.clients));
-        self.driver.workers.set_most(rest(self.workers_max, held.workers));
+        self.side.set_clients_max(rest(self.clients_max, held.clients));
+        self.driver.servers.set_most(rest(self.servers_max, held.servers));
     }
 
     /// Waits for a process to hand over to, for ever.
@@ -237,19 +238,19 @@
         if said.map_err(io::Error::other)??.as_deref() != Some("ready") {
             return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "the new process has ended"));
         }
-        self.server.retire();
+        self.side.retire();
         let known = Knowledge {
             names: self.book.names(),
-            evacuates: self.server.evacuates(),
+            evacuates: self.side.evacuates(),
             handover: self.driver.hand_over(),
         };
         eprintln!("granitelead: handed over");
         let told = self.keep_telling(&known, &mut read, &mut write).await;
-        // Only its end ends this: the gateway is this process again.
+        // Only its end ends this: the gatekeeper is this process again.
         self.driver.carry_on();
-        self.server.set_clients_max(self.clients_max);
-        self.driver.workers.set_most(self.workers_max);
-        self.server.set_accepts(true);
+        self.side.set_clients_max(self.clients_max);
+        self.driver.servers.set_most(self.servers_max);
+        self.side.set_accepts(true);
         told
     }
 
@@ -260,13 +261,13 @@
         write: &mut OwnedWriteHalf,
     ) -> io::Result<()> {
         say(write, known).await?;
-        self.server.let_leave();
+        self.side.let_leave();
         loop {
             self.by_hand.follow();
-            self.server.set_clients_max(self.clients_max / 2);
+            self.side.set_clients_max(self.clients_max / 2);
             // What is out finishes; the rest is the new process's.
-            self.driver.workers.set_most((self.workers_max / 4).max(1));
-            let held = Held { clients: self.server.clients(), workers: self.driver.workers.open() };
+            self.driver.servers.set_most((self.servers_max / 4).max(1));
+            let held = Held { clients: self.side.clients(), servers: self.driver.servers.open() };
             say(write, &held).await?;
             if let Ok(ended) = timeout(TELL, read.read_u8()).await {
                 return ended.map(drop);
--- a/crates/gatekeeper/src/lifecycle/run.rs
+++ b/crates/gatekeeper/src/lifecycle/run.rs
@@ -1,6 +1,6 @@
-//! One gateway: reads its configuration, serves until told to stop, and exits when all is answered.
+//! One gatekeeper: reads its configuration, serves until told to stop, and exits when all is answered.
 
-use crate::clients::side::Server;
+use crate::clients::side::ClientSide;
 use crate::config::Config;
 use crate::driver::Driver;
 use crate::lifecycle::handover::{listen, meeting_place, Upgrade};
@@ -24,7 +24,7 @@
 /// Past the longest deadline after the call to stop nothing can be owed any more.
 const STOP_SPARE: Duration = Duration::from_millis(600);
 
-/// Idle connections to workers are looked at once in so many looks at clients.
+/// Idle connections to servers are looked at once in so many looks at clients.
 const RETIRE_EVERY: u64 = 4;
 
 /// Runs one gatekeeper to its end, as its environment says.
@@ -51,15 +51,15 @@
     }
     let driver = Driver::new(&config);
     let summed = driver.clone();
-    let server = Server::new(driver.clone(), &config);
+    let side = ClientSide::new(driver.clone(), &config);
     let (discovery, agent) = watch::channel(config.discovery.clone());
     let book = Rc::new(Book::default());
     let by_hand = ByHand::new(driver.clone(), book.clone(), folder.as_deref());
-    let limits = (config.clients_max, config.workers_max);
-    let upgrade = Upgrade::new(driver.clone(), server.clone(), book.clone(), by_hand.clone(), limits);
+    let limits = (config.clients_max, config.servers_max);
+    let upgrade = Upgrade::new(driver.clone(), side.clone(), book.clone(), by_hand.clone(), limits);
     by_hand.follow();
     if let Some(listener) = door {
-        spawn_local(Door::new(server.clone(), by_hand).answer_calls(listener));
+        spawn_local(Door::new(side.clone(), by_hand).answer_calls(listener));
     }
     book.apply(&driver, &config.known, ListScope::Cached);
     let pace = if config.settings.subscribe { Pace::shared } else { Pace::own };
@@ -68,12 +68,12 @@
     let follower =
         Follower::new(Sources::new(config.discovery.clone(), &config.known), pace, driver.listing.clone());
     spawn_local({
-        let (driver, server) = (driver.clone(), server.clone());
-        follow(driver, book, follower, agent, move || server.set_ready())
+        let (driver, side) = (driver.clone(), side.clone());
+        follow(driver, book, follower, agent, move || side.set_ready())
     });
     if !config.known.targets.is_empty() {
         // The list of before serves well enough until discovery answers, which may take long.
-        server.set_ready();
+        side.set_ready();
     }
     spawn_local({
         let driver = driver.clone();
@@ -94,18 +94,18 @@
             }
         }
     });
-    spawn_local(server.clone().take_turns());
-    let looks = server.clone();
+    spawn_local(side.clone().take_turns());
+    let looks = side.clone();
     spawn_local(async move {
         for turn in 1u64.. {
             tokio::time::sleep(times::LOOK).await;
             looks.look();
             if turn % RETIRE_EVERY == 0 {
-                driver.workers.retire_idle();
+                driver.servers.retire_idle();
             }
         }
     });
-    server.set_accepts(predecessor.is_none());
+    side.set_accepts(predecessor.is_none());
     let upgrades = spawn_local({
         let listener = listener.clone();
         async move {
@@ -118,15 +118,15 @@
         }
     });
     tokio::select! {
-        () = server.accept(&listener) => {}
-        () = server.until_left() => {}
+        () = side.accept(&listener) => {}
+        () = side.until_left() => {}
         _ = term.recv() => {}
     }
-    if !server.is_retired() {
+    if !side.is_retired() {
         // The listening socket closes with its last user, and is not to be passed on any more.
         upgrades.abort();
     }
-    server.stop(listener, config.longest_deadline() + STOP_SPARE).await;
+    side.stop(listener, config.longest_deadline() + STOP_SPARE).await;
     let (ended, open) = (summed.telemetry.total(), summed.telemetry.inflight());
     eprintln!("granitelead: stopped: {ended:?}, {open} unanswered");
     Ok(())
--- a/crates/gatekeeper/src/list.rs
+++ b/crates/gatekeeper/src/list.rs
@@ -1,9 +1,9 @@
-//! The book of who is where, brought up to the list of workers.
+//! The book of who is where, brought up to the list of servers.
 
 use crate::driver::Driver;
 use granitelead_base::note;
 use granitelead_decisions::hash;
-use granitelead_decisions::{Availability, Event, ListScope, WorkerId, WorkerInfo, WorkerList, Zone};
+use granitelead_decisions::{Availability, Event, ListScope, ServerId, ServerInfo, ServerList, Zone};
 use granitelead_list::follower::Follower;
 use granitelead_list::forms::{HostList, Target};
 use std::cell::{Cell, RefCell};
@@ -12,57 +12,57 @@
 use std::rc::Rc;
 use tokio::sync::watch;
 
-/// Ids kept of workers that are no longer listed.
+/// Ids kept of servers that are no longer listed.
 const IDS_MAX: usize = 10_000;
 
-/// Which worker is which: `uid`s as the ids that the decisions go by, never given twice.
+/// Which server is which: `uid`s as the ids that the decisions go by, never given twice.
 #[derive(Default)]
 pub struct Book {
-    ids: RefCell<HashMap<String, WorkerId>>,
+    ids: RefCell<HashMap<String, ServerId>>,
     next: Cell<u64>,
     odd: Cell<u64>,
 }
 
 impl Book {
-    /// The id of a worker that has been listed.
-    pub fn listed(&self, uid: &str) -> Option<WorkerId> {
+    /// The id of a server that has been listed.
+    pub fn listed(&self, uid: &str) -> Option<ServerId> {
         self.ids.borrow().get(uid).copied()
     }
 
-    /// The id of a worker, listed or not.
-    pub fn id(&self, uid: &str) -> WorkerId {
+    /// The id of a server, listed or not.
+    pub fn id(&self, uid: &str) -> ServerId {
         *self.ids.borrow_mut().entry(uid.to_owned()).or_insert_with(|| {
             self.next.set(self.next.get() + 1);
-            WorkerId(self.next.get())
+            ServerId(self.next.get())
         })
     }
 
-    /// All workers' names with their ids.
-    pub fn names(&self) -> Vec<(String, WorkerId)> {
+    /// All servers' names with their ids.
+    pub fn names(&self) -> Vec<(String, ServerId)> {
         self.ids.borrow().iter().map(|(uid, id)| (uid.clone(), *id)).collect()
     }
 
     /// What the ids of another process are here, by its names for them.
-    pub fn translate(&self, names: Vec<(String, WorkerId)>) -> HashMap<WorkerId, WorkerId> {
+    pub fn translate(&self, names: Vec<(String, ServerId)>) -> HashMap<ServerId, ServerId> {
         names.into_iter().take(IDS_MAX).map(|(uid, id)| (id, self.id(&uid))).collect()
     }
 
     /// Brings pools and decisions to a list. `scope` says what the list covers.
     pub fn apply(&self, driver: &Rc<Driver>, list: &HostList, scope: ListScope) {
-        let workers: Vec<WorkerInfo> = list.targets.iter().map(|t| self.worker(driver, t)).collect();
-        let named: HashSet<WorkerId> = workers.iter().map(|w| w.id).collect();
+        let servers: Vec<ServerInfo> = list.targets.iter().map(|t| self.server(driver, t)).collect();
+        let named: HashSet<ServerId> = servers.iter().map(|w| w.id).collect();
         if scope != ListScope::Delta {
-            driver.workers.keep_only(&named);
+            driver.servers.keep_only(&named);
         }
-        // A worker that comes back keeps its id; only a fleet's many former lives are forgotten.
+        // A server that comes back keeps its id; only a fleet's many former lives are forgotten.
         if self.ids.borrow().len() > IDS_MAX {
-            self.ids.borrow_mut().retain(|_, id| driver.workers.keeps(*id));
+            self.ids.borrow_mut().retain(|_, id| driver.servers.keeps(*id));
         }
-        driver.feed(Event::Workers(WorkerList { scope, workers }));
+        driver.feed(Event::Servers(ServerList { scope, servers }));
         driver.recall_unwritten();
     }
 
-    fn worker(&self, driver: &Driver, target: &Target) -> WorkerInfo {
+    fn server(&self, driver: &Driver, target: &Target) -> ServerInfo {
         let id = self.id(&target.uid);
         let mut availability = match target.state.as_str() {
             "up" => Availability::Ready,
@@ -72,23 +72,23 @@
         };
         match target.endpoint.parse::<SocketAddr>() {
             Ok(addr) if availability != Availability::Gone => {
-                driver.workers.list(id, addr, target.boot_ms, availability == Availability::Ready)
+                driver.servers.list(id, addr, target.boot_ms, availability == Availability::Ready)
             }
             parsed => {
                 if parsed.is_err() && availability != Availability::Gone {
-                    note(&self.odd, format_args!("discovery: worker {:?} has no address", target.uid));
+                    note(&self.odd, format_args!("discovery: server {:?} has no address", target.uid));
                 }
                 availability = Availability::Gone;
-                driver.workers.unlist(id);
+                driver.servers.unlist(id);
             }
         }
-        WorkerInfo {
+        ServerInfo {
             id,
             availability,
             zone: Zone(target.az.clone()),
             cell: target.pod_group,
             size: target.capacity_hint.filter(|n| n.is_finite() && *n > 0.0).unwrap_or(1.0),
-            // The gateway's clock counts Unix time too, so that all gateways agree on a start.
+            // The gatekeeper's clock counts Unix time too, so that all gatekeepers agree on a start.
             place: hash(&target.uid),
             started: (target.boot_ms > 0).then(|| target.boot_ms.saturating_mul(1_000)),
         }
--- a/crates/gatekeeper/src/operators/by_hand.rs
+++ b/crates/gatekeeper/src/operators/by_hand.rs
@@ -1,4 +1,5 @@
-//! Servers that operators have left out: the names, in force and kept for the next process of this gateway.
+//! Servers that operators have left out: the names, in force and kept for the next process of this
+//! gatekeeper.
 
 use crate::driver::Driver;
 use crate::list::Book;
@@ -58,7 +59,7 @@
         std::fs::rename(&new, place)
     }
 
-    /// Brings what is left out to what the other process of this gateway has written.
+    /// Brings what is left out to what the other process of this gatekeeper has written.
     pub fn follow(&self) {
         let Some(place) = &self.place else { return };
         match read(place) {
--- a/crates/gatekeeper/src/operators/door.rs
+++ b/crates/gatekeeper/src/operators/door.rs
@@ -1,6 +1,6 @@
 //! The operators' door: one line a connection, one answer, and the connection is closed.
 
-use crate::clients::side::Server;
+use crate::clients::side::ClientSide;
 use crate::config::CALLERS_MAX;
 use crate::operators::by_hand::ByHand;
 use granitelead_base::{note, ACCEPT_PAUSE};
@@ -46,7 +46,7 @@
 
 /// What operators call on.
 pub struct Door {
-    server: Rc<Server>,
+    side: Rc<ClientSide>,
     by_hand: Rc<ByHand>,
     callers: RefCell<VecDeque<(u64, Rc<Notify>)>>,
     next: Cell<u64>,
@@ -54,10 +54,10 @@
 }
 
 impl Door {
-    /// A door to this gateway.
-    pub fn new(server: Rc<Server>, by_hand: Rc<ByHand>) -> Rc<Door> {
+    /// A door to this gatekeeper.
+    pub fn new(side: Rc<ClientSide>, by_hand: Rc<ByHand>) -> Rc<Door> {
         let callers = RefCell::default();
-        Rc::new(Door { server, by_hand, callers, next: Cell::new(0), odd: Cell::new(0) })
+        Rc::new(Door { side, by_hand, callers, next: Cell::new(0), odd: Cell::new(0) })
     }
 
     /// Answers calls for ever.
@@ -67,7 +67,7 @@
                 Ok((stream, _)) => self.admit(stream),
                 Err(e) => {
                     note(&self.odd, format_args!("operators' door: {e}"));
-                    self.server.shed();
+                    self.side.shed();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -119,18 +119,18 @@
 
     fn carry_out(&self, call: Call) -> String {
         match call {
-            Call::Ready if self.server.takes_clients() => "YES\n".into(),
+            Call::Ready if self.side.takes_clients() => "YES\n".into(),
             Call::Ready => "NO not yet\n".into(),
-            Call::Telemetry => self.by_hand.driver.report(self.server.figures()) + "END\n",
+            Call::Telemetry => self.by_hand.driver.report(self.side.figures()) + "END\n",
             Call::Exclude(uid) if self.by_hand.set(&uid, true) => "YES\n".into(),
             Call::Include(uid) if self.by_hand.set(&uid, false) => "YES\n".into(),
             Call::Exclude(_) | Call::Include(_) => "NO never listed\n".into(),
             Call::Evacuate => {
-                self.server.evacuate();
+                self.side.evacuate();
                 "YES\n".into()
             }
             Call::Activate => {
-                self.server.activate();
+                self.side.activate();
                 "YES\n".into()
             }
         }
--- a/crates/gatekeeper/src/servers/side.rs
+++ b/crates/gatekeeper/src/servers/side.rs
@@ -1,12 +1,12 @@
-//! The workers' side: pooled connections, attempts, and what an attempt's end proves.
+//! The servers' side: pooled connections, attempts, and what an attempt's end proves.
 
 use crate::body::{self, gather, Broken, Gathered, Outgoing, Room, Upload};
 use crate::config::Config;
 use crate::servers::dials::{Ask, Dialed, Dials};
-use crate::times::{FLOW_STALL, WORKER_ACK};
+use crate::times::{FLOW_STALL, SERVER_ACK};
 use granitelead_base::wire::{Place, Wire, WireIo};
 use granitelead_base::{decimal, note};
-use granitelead_decisions::{Outcome, WorkerId};
+use granitelead_decisions::{Outcome, ServerId};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
@@ -20,9 +20,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, timeout_at, Duration, Instant};
 
-/// The name under which workers serve.
+/// The name under which servers serve.
 const SERVICE: &str = "backend.local";
-/// Idle connections kept to one worker.
+/// Idle connections kept to one server.
 const IDLE_MAX: usize = 32;
 /// How often the time of an attempt whose body still comes is looked at.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
@@ -31,7 +31,7 @@
 /// How long a connection may take to be ready again once its answer has been read.
 const SETTLE: Duration = Duration::from_millis(250);
 
-/// What goes on to a worker unchanged.
+/// What goes on to a server unchanged.
 pub struct Parts {
     /// `GET` or `POST`.
     pub method: Method,
@@ -39,7 +39,7 @@
     pub uri: Uri,
     /// The client's id for it.
     pub id: HeaderValue,
-    /// The client's key, by which workers drop repeats.
+    /// The client's key, by which servers drop repeats.
     pub key: Option<HeaderValue>,
     /// The client's word on what the body is.
     pub content_type: Option<HeaderValue>,
@@ -59,7 +59,7 @@
     }
 }
 
-/// A worker's good answer.
+/// A server's good answer.
 pub struct Served {
     /// The body, unchanged.
     pub body: Gathered,
@@ -112,7 +112,7 @@
         self.wire.borrow().is_none()
     }
 
-    /// Ends the attempt's connection at once, and tells whether a worker may have the whole request.
+    /// Ends the attempt's connection at once, and tells whether a server may have the whole request.
     pub fn give_up(&self) -> bool {
         match self.wire.borrow_mut().take() {
             None => false,
@@ -146,9 +146,9 @@
     wire: Rc<Wire>,
     idle_since: Instant,
     used: bool,
-    /// How long the worker may leave data unacknowledged.
+    /// How long the server may leave data unacknowledged.
     ack: Duration,
-    /// Its place among those to its worker.
+    /// Its place among those to its server.
     _place: Place,
 }
 
@@ -178,18 +178,18 @@
 
 /// One that waits for a connection. What it was given and has not taken goes to the next.
 struct Waits {
-    workers: Rc<Workers>,
-    worker: WorkerId,
+    servers: Rc<Servers>,
+    server: ServerId,
     number: u64,
     given: oneshot::Receiver<Given>,
 }
 
 impl Drop for Waits {
     fn drop(&mut self) {
-        self.workers.waiting.borrow_mut().remove(&self.number);
-        self.workers.dials.borrow_mut().leave(self.worker, self.number);
+        self.servers.waiting.borrow_mut().remove(&self.number);
+        self.servers.dials.borrow_mut().leave(self.server, self.number);
         if let Ok(Ok(conn)) = self.given.try_recv() {
-            self.workers.hand_on(self.worker, conn);
+            self.servers.hand_on(self.server, conn);
         }
     }
 }
@@ -198,18 +198,18 @@
 enum Undone {
     /// There is no room for it here.
     NoRoom,
-    /// The worker can't be reached.
+    /// The server can't be reached.
     Failed,
 }
 
-/// Connections to all workers.
-pub struct Workers {
-    pools: RefCell<HashMap<WorkerId, Pool>>,
+/// Connections to all servers.
+pub struct Servers {
+    pools: RefCell<HashMap<ServerId, Pool>>,
     /// Those that get nothing new, whatever the list says.
-    left_out: RefCell<HashSet<WorkerId>>,
+    left_out: RefCell<HashSet<ServerId>>,
     open: Rc<Cell<usize>>,
     most: Cell<usize>,
-    per_worker: usize,
+    per_server: usize,
     dials: RefCell<Dials>,
     /// Those that wait for a connection, by number.
     waiting: RefCell<HashMap<u64, oneshot::Sender<Given>>>,
@@ -222,21 +222,21 @@
     refused: Cell<u64>,
 }
 
-impl Workers {
-    /// None known yet. Connections are retired at half the time after which workers close them: a request
+impl Servers {
+    /// None known yet. Connections are retired at half the time after which servers close them: a request
     /// that crosses the closing would be a reset, which may have run. `calls` counts requests written whole.
     pub fn new(config: &Config, calls: Rc<Cell<u64>>, room: Room) -> Rc<Self> {
-        Rc::new(Workers {
+        Rc::new(Servers {
             pools: RefCell::default(),
             left_out: RefCell::default(),
             open: Rc::default(),
-            most: Cell::new(config.workers_max),
-            per_worker: config.per_worker_max,
+            most: Cell::new(config.servers_max),
+            per_server: config.per_server_max,
             dials: RefCell::new(Dials::new(config.settings.instances, config.seed)),
             waiting: RefCell::default(),
             next: Cell::new(0),
             connect_timeout: config.connect_timeout,
-            keep_idle: config.worker_idle / 2,
+            keep_idle: config.server_idle / 2,
             calls,
             room,
             odd: Cell::new(0),
@@ -244,10 +244,10 @@
         })
     }
 
-    /// Notes where a worker is, when it started and whether it takes work. Idle connections to one that does
+    /// Notes where a server is, when it started and whether it takes work. Idle connections to one that does
     /// not, or to a former life of it, are closed: a request written to a dead process is a reset, and an
     /// unsafe one would then be failed for nothing.
-    pub fn list(&self, id: WorkerId, addr: SocketAddr, boot_ms: u64, ready: bool) {
+    pub fn list(&self, id: ServerId, addr: SocketAddr, boot_ms: u64, ready: bool) {
         let mut pools = self.pools.borrow_mut();
         let new = || Pool { addr, boot_ms, ready, idle: Vec::new(), open: Rc::default() };
         let pool = pools.entry(id).or_insert_with(new);
@@ -262,26 +262,26 @@
         }
     }
 
-    /// Nothing that was learned of opening connections to a worker holds any more.
-    fn forget(&self, id: WorkerId) {
+    /// Nothing that was learned of opening connections to a server holds any more.
+    fn forget(&self, id: ServerId) {
         let waited = self.dials.borrow_mut().forget(id);
         waited.into_iter().for_each(|number| drop(self.give(number, Err(Outcome::NotSent))));
     }
 
-    /// Forgets a worker.
-    pub fn unlist(&self, id: WorkerId) {
+    /// Forgets a server.
+    pub fn unlist(&self, id: ServerId) {
         self.pools.borrow_mut().remove(&id);
         self.forget(id);
     }
 
-    /// Forgets all workers but these.
-    pub fn keep_only(&self, named: &HashSet<WorkerId>) {
+    /// Forgets all servers but these.
+    pub fn keep_only(&self, named: &HashSet<ServerId>) {
         let others = self.pools.borrow().keys().filter(|id| !named.contains(id)).copied().collect::<Vec<_>>();
         others.into_iter().for_each(|id| self.unlist(id));
     }
 
-    /// Whether the list names this worker, or it is left out by hand.
-    pub fn keeps(&self, id: WorkerId) -> bool {
+    /// Whether the list names this server, or it is left out by hand.
+    pub fn keeps(&self, id: ServerId) -> bool {
         self.pools.borrow().contains_key(&id) || self.left_out.borrow().contains(&id)
     }
 
@@ -299,13 +299,13 @@
         self.open.get()
     }
 
-    /// How many workers the list names.
+    /// How many servers the list names.
     pub fn listed(&self) -> usize {
         self.pools.borrow().len()
     }
 
-    /// Leaves a worker out, or no longer.
-    pub fn set_left_out(&self, id: WorkerId, out: bool) {
+    /// Leaves a server out, or no longer.
+    pub fn set_left_out(&self, id: ServerId, out: bool) {
         if !out {
             self.left_out.borrow_mut().remove(&id);
         } else if self.left_out.borrow_mut().insert(id) {
@@ -314,8 +314,8 @@
         }
     }
 
-    /// Whether anything new may go to this worker, as far as the list and operators have told.
-    pub fn takes_work(&self, id: WorkerId) -> bool {
+    /// Whether anything new may go to this server, as far as the list and operators have told.
+    pub fn takes_work(&self, id: ServerId) -> bool {
         let listed = self.pools.borrow().get(&id).is_some_and(|pool| pool.ready);
         listed && !self.left_out.borrow().contains(&id)
     }
@@ -331,7 +331,7 @@
         }
     }
 
-    /// The figures of connections to workers.
+    /// The figures of connections to servers.
     pub fn figures(&self) -> Vec<(String, u64)> {
         let idle: usize = self.pools.borrow().values().map(|pool| pool.idle.len()).sum();
         let Dialed { begun, failed, waited, held_off } = self.dials.borrow().dialed;
@@ -350,7 +350,7 @@
     /// Sends a request once and waits for its answer: the whole of a short one, the beginning of a long one.
     pub async fn attempt(
         self: &Rc<Self>,
-        worker: WorkerId,
+        server: ServerId,
         parts: &Parts,
         time: Duration,
         progress: &Progress,
@@ -360,15 +360,15 @@
             if parts.is_spent() {
                 return Outcome::NotSent.into();
             }
-            let mut conn = match self.connection(worker, deadline).await {
+            let mut conn = match self.connection(server, deadline).await {
                 Ok(conn) => conn,
                 Err(outcome) => return outcome.into(),
             };
             // The connection may have taken its time: the list of now decides, not that of the send.
-            if !self.takes_work(worker) {
+            if !self.takes_work(server) {
                 return Outcome::NotSent.into();
             }
-            let ack = if parts.upload().is_some() { FLOW_STALL } else { WORKER_ACK };
+            let ack = if parts.upload().is_some() { FLOW_STALL } else { SERVER_ACK };
             if std::mem::replace(&mut conn.ack, ack) != ack {
                 conn.wire.set_user_timeout(ack, &self.refused);
             }
@@ -383,7 +383,7 @@
             let (used, whole) = (conn.used, progress.give_up());
             if conn.wire.is_silent() {
                 // The others lead to the same machine.
-                self.pools.borrow_mut().entry(worker).and_modify(|pool| pool.idle.clear());
+                self.pools.borrow_mut().entry(server).and_modify(|pool| pool.idle.clear());
             }
             drop(conn);
             match ended {
@@ -391,7 +391,7 @@
                 Some(Err(_)) if used && !whole && !parts.is_spent() => continue,
                 _ if !whole => return Outcome::ConnectFailed.into(),
                 Some(Err(Broken::TooLong)) => {
-                    note(&self.odd, format_args!("worker {}: answer too large", worker.0));
+                    note(&self.odd, format_args!("server {}: answer too large", server.0));
                     return Outcome::Error.into();
                 }
                 Some(_) => return Outcome::Reset.into(),
@@ -401,7 +401,7 @@
     }
 
     /// Takes a connection back once it is ready for another request.
-    pub async fn give_back(self: &Rc<Self>, worker: WorkerId, attempted: Attempted) {
+    pub async fn give_back(self: &Rc<Self>, server: ServerId, attempted: Attempted) {
         let Some(mut conn) = attempted.conn else {
             // One has ended, and others may be opened in its place.
             return self.open_wanted();
@@ -410,22 +410,22 @@
             return;
         }
         conn.used = true;
-        self.hand_on(worker, conn);
+        self.hand_on(server, conn);
     }
 
     /// A connection is free: the first that waits gets it, or it is kept.
-    fn hand_on(&self, worker: WorkerId, mut conn: Conn) {
-        if !self.takes_work(worker) {
+    fn hand_on(&self, server: ServerId, mut conn: Conn) {
+        if !self.takes_work(server) {
             return;
         }
         loop {
-            let Some(number) = self.dials.borrow_mut().first(worker) else { break };
+            let Some(number) = self.dials.borrow_mut().first(server) else { break };
             match self.give(number, Ok(conn)) {
                 Some(Ok(back)) => conn = back,
                 _ => return,
             }
         }
-        if let Some(pool) = self.pools.borrow_mut().get_mut(&worker) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&server) {
             if pool.idle.len() < IDLE_MAX {
                 (conn.idle_since, conn.used) = (Instant::now(), true);
                 pool.idle.push(conn);
@@ -443,9 +443,9 @@
     }
 
     /// A kept connection, the last used first.
-    fn kept(&self, worker: WorkerId) -> Option<Conn> {
+    fn kept(&self, server: ServerId) -> Option<Conn> {
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.get_mut(&worker)?;
+        let pool = pools.get_mut(&server)?;
         while let Some(conn) = pool.idle.pop() {
             if conn.idle_since.elapsed() < self.keep_idle && conn.sender.is_ready() {
                 return Some(conn);
@@ -455,32 +455,32 @@
     }
 
     /// A kept connection, or the first that comes free: one that is given back, or a new one.
-    async fn connection(self: &Rc<Self>, worker: WorkerId, deadline: Instant) -> Result<Conn, Outcome> {
-        if !self.takes_work(worker) {
+    async fn connection(self: &Rc<Self>, server: ServerId, deadline: Instant) -> Result<Conn, Outcome> {
+        if !self.takes_work(server) {
             return Err(Outcome::NotSent);
         }
-        let given = match self.kept(worker) {
+        let given = match self.kept(server) {
             Some(conn) => Ok(conn),
-            None => self.wait_for_one(worker, deadline).await,
+            None => self.wait_for_one(server, deadline).await,
         };
-        if let Some(pool) = self.pools.borrow().get(&worker) {
-            self.dials.borrow_mut().uses(worker, pool.in_use());
+        if let Some(pool) = self.pools.borrow().get(&server) {
+            self.dials.borrow_mut().uses(server, pool.in_use());
         }
         given
     }
 
-    async fn wait_for_one(self: &Rc<Self>, worker: WorkerId, deadline: Instant) -> Given {
+    async fn wait_for_one(self: &Rc<Self>, server: ServerId, deadline: Instant) -> Given {
         self.next.set(self.next.get() + 1);
         let number = self.next.get();
-        let ask = self.dials.borrow_mut().ask(worker, number, self.may_open(worker), now());
+        let ask = self.dials.borrow_mut().ask(server, number, self.may_open(server), now());
         if ask == Ask::HeldOff {
             return Err(Outcome::ConnectFailed);
         }
         let (give, given) = oneshot::channel();
         self.waiting.borrow_mut().insert(number, give);
-        let mut waits = Waits { workers: self.clone(), worker, number, given };
+        let mut waits = Waits { servers: self.clone(), server, number, given };
         if ask == Ask::Open {
-            self.begin_one(worker);
+            self.begin_one(server);
         }
         // A machine that is cut off says nothing: the time-out is ours.
         let until = deadline.min(Instant::now() + self.connect_timeout);
@@ -492,16 +492,16 @@
     }
 
     /// Opens a connection for whoever waits the longest by then.
-    fn begin_one(self: &Rc<Self>, worker: WorkerId) {
+    fn begin_one(self: &Rc<Self>, server: ServerId) {
         let place =
-            self.pools.borrow().get(&worker).and_then(|pool| Place::take(&pool.open, self.per_worker));
+            self.pools.borrow().get(&server).and_then(|pool| Place::take(&pool.open, self.per_server));
         let this = self.clone();
         tokio::task::spawn_local(async move {
-            let opened = this.dial(worker, place).await;
+            let opened = this.dial(server, place).await;
             let lost = match &opened {
-                Ok(_) => this.dials.borrow_mut().opened(worker, true, now()),
-                Err(Undone::Failed) => this.dials.borrow_mut().opened(worker, false, now()),
-                Err(Undone::NoRoom) => this.dials.borrow_mut().no_room(worker).into_iter().collect(),
+                Ok(_) => this.dials.borrow_mut().opened(server, true, now()),
+                Err(Undone::Failed) => this.dials.borrow_mut().opened(server, false, now()),
+                Err(Undone::NoRoom) => this.dials.borrow_mut().no_room(server).into_iter().collect(),
             };
             let why = match &opened {
                 Err(Undone::NoRoom) => Outcome::NotSent,
@@ -509,7 +509,7 @@
             };
             lost.into_iter().for_each(|number| drop(this.give(number, Err(why))));
             if let Ok(conn) = opened {
-                this.hand_on(worker, conn);
+                this.hand_on(server, conn);
             }
             this.open_wanted();
         });
@@ -518,22 +518,22 @@
     /// Opens what those that wait need, as far as the bounds let it.
     fn open_wanted(self: &Rc<Self>) {
         let wanting = self.dials.borrow().wanting();
-        for worker in wanting {
-            while self.may_open(worker) && self.dials.borrow_mut().open_one(worker) {
-                self.begin_one(worker);
+        for server in wanting {
+            while self.may_open(server) && self.dials.borrow_mut().open_one(server) {
+                self.begin_one(server);
             }
         }
     }
 
-    /// Whether a worker's limit leaves room for a further connection.
-    fn may_open(&self, worker: WorkerId) -> bool {
-        self.pools.borrow().get(&worker).is_some_and(|pool| pool.open.get() < self.per_worker)
+    /// Whether a server's limit leaves room for a further connection.
+    fn may_open(&self, server: ServerId) -> bool {
+        self.pools.borrow().get(&server).is_some_and(|pool| pool.open.get() < self.per_server)
     }
 
-    async fn dial(&self, worker: WorkerId, to_it: Option<Place>) -> Result<Conn, Undone> {
+    async fn dial(&self, server: ServerId, to_it: Option<Place>) -> Result<Conn, Undone> {
         let (addr, boot_ms) = {
             let pools = self.pools.borrow();
-            let pool = pools.get(&worker).ok_or(Undone::NoRoom)?;
+            let pool = pools.get(&server).ok_or(Undone::NoRoom)?;
             (pool.addr, pool.boot_ms)
         };
         let to_it = to_it.ok_or(Undone::NoRoom)?;
@@ -545,8 +545,8 @@
         let connected = timeout(self.connect_timeout, TcpStream::connect(addr)).await;
         let Ok(Ok(stream)) = connected else { return Err(Undone::Failed) };
         let is_there = |pool: &Pool| (pool.addr, pool.boot_ms) == (addr, boot_ms);
-        if !self.pools.borrow().get(&worker).is_some_and(is_there) {
-            // It leads to a former life of the worker.
+        if !self.pools.borrow().get(&server).is_some_and(is_there) {
+            // It leads to a former life of the server.
             return Err(Undone::NoRoom);
         }
         let _ = stream.set_nodelay(true);
--- a/crates/gatekeeper/src/telemetry.rs
+++ b/crates/gatekeeper/src/telemetry.rs
@@ -7,7 +7,7 @@
 /// The way in which a request has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
-    /// With a worker's answer.
+    /// With a server's answer.
     Served,
     /// Turned away.
     Refused,
@@ -22,7 +22,7 @@
 /// How many requests have ended in which way.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Ended {
-    /// With a worker's answer.
+    /// With a server's answer.
     pub served: u64,
     /// Turned away.
     pub refused: u64,
--- a/crates/list-service/src/service.rs
+++ b/crates/list-service/src/service.rs
@@ -1,4 +1,5 @@
-//! The service's heart: calls change the registry, changes go to the disk, and what is there goes to the board.
+//! The service's heart: calls change the registry, changes go to the disk, and what is there goes to the
+//! board.
 
 use crate::board::{Board, Position, RING};
 use crate::registry::{Noted, Record, Refusal, Registry};
--- a/crates/list-service/src/store.rs
+++ b/crates/list-service/src/store.rs
@@ -1,4 +1,5 @@
-//! What outlives the process: a snapshot of the leases and a log of what changed since, lines with a checksum each.
+//! What outlives the process: a snapshot of the leases and a log of what changed since, lines with a checksum
+//! each.
 
 use crate::registry::{Record, LEASES_MAX};
 use rustix::fs::{flock, FlockOperation};
--- a/crates/list/src/follower.rs
+++ b/crates/list/src/follower.rs
@@ -25,16 +25,16 @@
 const SILENT: Duration = Duration::from_millis(2_500);
 /// Time to connect to an agent on this machine, and again for the head of its answer.
 const CONNECT: Duration = Duration::from_secs(1);
-/// Time for the head of an answer for each gateway that may stand in line before: a call that is given up is
-/// worked on all the same, and asked again after that.
+/// Time for the head of an answer for each gatekeeper that may stand in line before: a call that is given up
+/// is worked on all the same, and asked again after that.
 const IN_LINE: Duration = Duration::from_millis(30);
-/// The longest line; a list of thousands of workers is shorter.
+/// The longest line; a list of thousands of servers is shorter.
 pub const LINE_MAX: usize = 4 << 20;
-/// The longest drawn wait before another source is asked about a list of hardly any worker.
+/// The longest drawn wait before another source is asked about a list of hardly any server.
 const DOUBT_WAIT: Duration = Duration::from_millis(250);
 /// Time for its answer. A drain is owed within 1 s of the line that tells it.
 const DOUBT_ANSWER: Duration = Duration::from_millis(300);
-/// Another source is asked for its version after one to two times this, and for each gateway that.
+/// Another source is asked for its version after one to two times this, and for each gatekeeper that.
 const COMPARE: (Duration, Duration) = (Duration::from_secs(20), Duration::from_millis(200));
 
 /// How calls for the list are spaced.
@@ -49,30 +49,30 @@
 }
 
 impl Pace {
-    /// For one of so many gateways, each of which has to ask within this time; `seed` draws. The list comes from an
-    /// agent of this gateway's own, unless it turns out to be a service that all share.
-    pub fn own(gateways: u32, within: Duration, seed: u64) -> Pace {
-        let pace = Pace::shared(gateways, within, seed);
+    /// For one of so many gatekeepers, each of which has to ask within this time; `seed` draws. The list
+    /// comes from an agent of this gatekeeper's own, unless it turns out to be a service that all share.
+    pub fn own(gatekeepers: u32, within: Duration, seed: u64) -> Pace {
+        let pace = Pace::shared(gatekeepers, within, seed);
         Pace { backoff: Backoff::new(seed), head: CONNECT, shared: false, ..pace }
     }
 
     /// The same for one service that all share.
-    pub fn shared(gateways: u32, within: Duration, seed: u64) -> Pace {
+    pub fn shared(gatekeepers: u32, within: Duration, seed: u64) -> Pace {
         Pace {
-            backoff: Backoff::shared(gateways, within, seed),
-            head: CONNECT.max((IN_LINE * gateways).min(within / 2)),
+            backoff: Backoff::shared(gatekeepers, within, seed),
+            head: CONNECT.max((IN_LINE * gatekeepers).min(within / 2)),
             shared: true,
-            compare: COMPARE.0.max(COMPARE.1 * gateways),
+            compare: COMPARE.0.max(COMPARE.1 * gatekeepers),
             rng: fastrand::Rng::with_seed(!seed),
-            fleet: (gateways, within, seed),
+            fleet: (gatekeepers, within, seed),
         }
     }
 
     /// The list is known to be shared.
     fn share(&mut self) {
         if !self.shared {
-            let (gateways, within, seed) = self.fleet;
-            *self = Pace { compare: self.compare, ..Pace::shared(gateways, within, seed) };
+            let (gatekeepers, within, seed) = self.fleet;
+            *self = Pace { compare: self.compare, ..Pace::shared(gatekeepers, within, seed) };
         }
     }
 
@@ -146,7 +146,7 @@
         mut places: watch::Receiver<Vec<SocketAddr>>,
         mut take: impl FnMut(&HostList, ListScope),
     ) {
-        // Gateways that are started together do not ask together.
+        // Gatekeepers that are started together do not ask together.
         tokio::select! {
             () = self.pace.backoff.wait() => {}
             Ok(()) = places.changed() => self.move_to(&mut places),
@@ -260,7 +260,7 @@
         Ok(())
     }
 
-    /// Asks another source about a list of hardly any worker.
+    /// Asks another source about a list of hardly any server.
     async fn is_refuted(&mut self, suspect: &HostList) -> bool {
         let Some(at) = self.sources.another(self.pace.rng.usize(..)) else { return false };
         tokio::time::sleep(DOUBT_WAIT.mul_f64(self.pace.rng.f64())).await;
--- a/crates/list/src/forms.rs
+++ b/crates/list/src/forms.rs
@@ -1,4 +1,5 @@
-//! The forms in which the list of workers is told and registered for, shared by gatekeepers and the list service.
+//! The forms in which the list of servers is told and registered for, shared by gatekeepers and the list
+//! service.
 
 use serde::{Deserialize, Serialize};
 
@@ -7,12 +8,12 @@
 /// Where the list's version is asked for.
 pub const REVISION: &str = "/discovery/rev";
 
-/// A list of workers, or what changed of it.
+/// A list of servers, or what changed of it.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct HostList {
     /// Its version.
     pub rev: u64,
-    /// Whether it names all workers.
+    /// Whether it names all servers.
     #[serde(default)]
     pub all: bool,
     /// Which line of versions this one is of; the platform's discovery has none.
@@ -24,12 +25,12 @@
     /// Whether the teller has the list from another.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub mirror: bool,
-    /// The workers.
+    /// The servers.
     #[serde(default)]
     pub targets: Vec<Target>,
 }
 
-/// One worker as listed.
+/// One server as listed.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Target {
     /// Its name, the same at every gatekeeper.
--- a/crates/list/src/sources.rs
+++ b/crates/list/src/sources.rs
@@ -112,7 +112,7 @@
         (self.rev, self.epoch)
     }
 
-    /// Whether the list comes from a service that other gateways ask as well.
+    /// Whether the list comes from a service that other gatekeepers ask as well.
     pub fn are_shared(&self) -> bool {
         self.places.len() > 1 || self.epoch.is_some()
     }
--- a/crates/simwire/src/lib.rs
+++ b/crates/simwire/src/lib.rs
@@ -71,13 +71,13 @@
                     continue;
                 }
                 Input::Nothing => continue,
-                Input::Workers { scope, rows } => {
-                    let mut workers = Vec::new();
+                Input::Servers { scope, rows } => {
+                    let mut servers = Vec::new();
                     for _ in 0..rows {
                         let line = lines.next()?.ok_or("input ends inside a list")?;
-                        workers.push(wire::row(&Fields::parse(&line, lines.number)?)?);
+                        servers.push(wire::row(&Fields::parse(&line, lines.number)?)?);
                     }
-                    Event::Workers(granitelead_decisions::WorkerList { scope, workers })
+                    Event::Servers(granitelead_decisions::ServerList { scope, servers })
                 }
                 Input::Event(event) => event,
             };
--- a/crates/simwire/src/wire.rs
+++ b/crates/simwire/src/wire.rs
@@ -8,7 +8,7 @@
 pub enum Input {
     Launch { settings: Box<Settings>, seed: u64, names: Box<Names> },
     Teardown,
-    Workers { scope: ListScope, rows: usize },
+    Servers { scope: ListScope, rows: usize },
     Event(Event),
     Nothing,
 }
@@ -45,7 +45,7 @@
         "FLEET" => {
             use ListScope::*;
             let scope = f.choice("scope", &[("0", Failed), ("1", Full), ("2", Delta), ("3", Cached)])?;
-            return Ok(Input::Workers { scope, rows: f.optional("items")?.unwrap_or(0) });
+            return Ok(Input::Servers { scope, rows: f.optional("items")?.unwrap_or(0) });
         }
         "DEMAND" => {
             let place = |names: &[String], value: &str| names.iter().position(|name| name == value);
@@ -55,7 +55,7 @@
                 class: place(&names.classes, f.text("type")?).map(ClassId),
                 plan: place(&names.plans, f.text("contract")?).map(PlanId),
                 units: f.float("quotaUnits")?,
-                gateways: f.number("width")?,
+                gatekeepers: f.number("width")?,
                 time_left: f.optional::<i64>("graceUs")?.ok_or_else(|| f.error("graceUs", "missing"))?.max(0)
                     as u64,
                 whole: true,
@@ -98,13 +98,13 @@
     Ok(Input::Event(event))
 }
 
-pub fn row(f: &Fields) -> Result<WorkerInfo, String> {
+pub fn row(f: &Fields) -> Result<ServerInfo, String> {
     if f.name != "ROW" {
         return Err(f.error("name", "ROW expected"));
     }
     use Availability::*;
-    Ok(WorkerInfo {
-        id: WorkerId(f.int("worker")?),
+    Ok(ServerInfo {
+        id: ServerId(f.int("worker")?),
         availability: f.choice("availability", &[("0", Gone), ("1", Ready), ("2", Draining)])?,
         zone: Zone(f.text_or_empty("zone").into()),
         cell: f.span_or_zero("block")?,
@@ -117,10 +117,10 @@
 /// Prints one action as a line of the reply.
 pub fn print(reply: &mut String, instance: u32, action: &Action) {
     let line = match action {
-        Action::Send { request, worker, timeout } => {
+        Action::Send { request, server, timeout } => {
             format!(
                 "TRY\tgatekeeper={instance}\tticket={}\ttimeoutUs={timeout}\tworker={}",
-                request.0, worker.0
+                request.0, server.0
             )
         }
         Action::Cancel { request, attempt } => {
