--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,20 +5,37 @@
 
 use std::future::Future;
 use std::process::ExitCode;
-use tokio::task::{spawn_local, LocalSet};
+use thiserror::Error;
+use tokio::task::{spawn_local, JoinError, LocalSet};
 use tokio::time::Duration;
 
 /// Pause where the system has no descriptor left for a new connection.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Runs a program of one thread to its end: what `load` gives is served.
-pub fn run<T, F>(
+/// Why a program ends with a failure.
+#[derive(Debug, Error)]
+enum Failure<L, S> {
+    #[error(transparent)]
+    Load(L),
+    #[error("no runtime: {0}")]
+    Runtime(std::io::Error),
+    #[error("its task: {0}")]
+    Task(JoinError),
+    #[error(transparent)]
+    Serve(S),
+}
+
+/// Runs a program of one thread to its end: what `load` gives is served. A failure is one line on standard error,
+/// and exit status 1.
+pub fn run<T, L, S, F>(
     program: &str,
-    load: impl FnOnce() -> Result<T, String>,
+    load: impl FnOnce() -> Result<T, L>,
     serve: impl FnOnce(T) -> F,
 ) -> ExitCode
 where
-    F: Future<Output = Result<(), String>> + 'static,
+    L: std::error::Error + 'static,
+    S: std::error::Error + 'static,
+    F: Future<Output = Result<(), S>> + 'static,
 {
     // Requests would wait for ever behind a port that still accepts: better to end and be started again.
     let report = std::panic::take_hook();
@@ -26,18 +43,18 @@
         report(panic);
         std::process::exit(101);
     }));
-    let run = || -> Result<(), String> {
-        let loaded = load()?;
+    let run = || -> Result<(), Failure<L, S>> {
+        let loaded = load().map_err(Failure::Load)?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+        let runtime = runtime.map_err(Failure::Runtime)?;
         // As a task of its own: what `block_on` is given itself is polled at every turn of the loop.
         let served = async { spawn_local(serve(loaded)).await };
-        LocalSet::new().block_on(&runtime, served).map_err(|e| e.to_string())?
+        LocalSet::new().block_on(&runtime, served).map_err(Failure::Task)?.map_err(Failure::Serve)
     };
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("{program}: {message}");
+        Err(failure) => {
+            eprintln!("{program}: {failure}");
             ExitCode::FAILURE
         }
     }
--- a/crates/decisions/src/gatekeeper/attempts.rs
+++ b/crates/decisions/src/gatekeeper/attempts.rs
@@ -1,11 +1,8 @@
 //! Attempts: the one place that sends, what their ends mean, and what is tried again or twice.
-use super::health::LEARN;
 use super::*;
 
 /// Part of the aim after which a second copy may be sent where that is allowed.
 const HEDGE_SHARE: f64 = 0.75;
-/// Further attempts earned by each first one, and the most saved up: keeps retries from piling on.
-pub(super) const RETRY_EARN: (f64, f64) = (0.15, 20.0);
 /// Typical latencies without any answer after which a server with work out counts as silent.
 const SILENT: f64 = 4.0;
 
--- a/crates/decisions/src/gatekeeper/customers.rs
+++ b/crates/decisions/src/gatekeeper/customers.rs
@@ -1,8 +1,6 @@
 //! Customers: a bounded, aging table of what each has used, by slots of its own window.
 use super::*;
 
-/// Customers in the table, entries: the write-up's 100k.
-pub(super) const TABLE_MAX: usize = 100_000;
 /// Idle windows before an entry may age out: by then its counts and box have lapsed twice over.
 const IDLE_WINDOWS: f64 = 4.0;
 /// Longest window, µs: two of them are the longest that a counter keeps a number.
--- a/crates/decisions/src/gatekeeper/handover.rs
+++ b/crates/decisions/src/gatekeeper/handover.rs
@@ -1,5 +1,4 @@
 //! The next process of this gatekeeper: what it is told, and what stays here.
-use super::customers::TABLE_MAX;
 use super::*;
 
 /// Customers that a successor is told of, at most.
--- a/crates/decisions/src/gatekeeper/health.rs
+++ b/crates/decisions/src/gatekeeper/health.rs
@@ -1,8 +1,6 @@
 //! What answers and failures say of a server, and of the in-flight limit of all.
 use super::*;
 
-/// Weights of a new sample in the learned latency of a class and in a server's slowness.
-pub(super) const LEARN: (f64, f64) = (0.05, 0.15);
 /// Avoidance of a server for a class that failed there, µs: at the least, and at the most. It lasts until the
 /// next of our requests would meet the server by chance, and doubles with each failure, thrice at the most.
 const EJECT_FOR: (f64, f64) = (1e6, 30e6);
--- a/crates/decisions/src/gatekeeper/mod.rs
+++ b/crates/decisions/src/gatekeeper/mod.rs
@@ -17,12 +17,19 @@
 
 use crate::api::*;
 use crate::state::*;
-use attempts::RETRY_EARN;
-use room::INFLIGHT;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Housekeeping period, µs: short against any aim, long against the clock's resolution.
 const TICK: Micros = 10_000;
+/// Further attempts earned by each first one, and the most saved up: keeps retries from piling on.
+const RETRY_EARN: (f64, f64) = (0.15, 20.0);
+/// In-flight limit of one server over all gatekeepers, requests: at start, least, most, and growth with a
+/// good answer. Each gatekeeper holds its even part, over all servers where it is below one at each.
+const INFLIGHT: (f64, f64, f64, f64) = (4.0, 0.9, 96.0, 0.15);
+/// Weights of a new sample in the learned latency of a class and in a server's slowness.
+const LEARN: (f64, f64) = (0.05, 0.15);
+/// Customers in the table, entries: the write-up's 100k.
+const TABLE_MAX: usize = 100_000;
 /// Pace of calls at the start, µs between two calls of all gatekeepers together: each keeps its part of it.
 const CALL_START: f64 = 2_000.0;
 
--- a/crates/decisions/src/gatekeeper/room.rs
+++ b/crates/decisions/src/gatekeeper/room.rs
@@ -1,10 +1,6 @@
 //! Room: the in-flight limit, learned from latency, and requests held until there is some.
-use super::health::LEARN;
 use super::*;
 
-/// In-flight limit of one server over all gatekeepers, requests: at start, least, most, and growth with a
-/// good answer. Each gatekeeper holds its even part, over all servers where it is below one at each.
-pub(super) const INFLIGHT: (f64, f64, f64, f64) = (4.0, 0.9, 96.0, 0.15);
 /// What a slow answer leaves of the limit, ten ticks apart at least.
 const INFLIGHT_CUT: f64 = 0.92;
 /// Part of the aim past which an answer counts as slow and cuts the in-flight limit.
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -5,6 +5,72 @@
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::str::FromStr;
+use thiserror::Error;
+
+/// What is wrong with a field, and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{}{}field `{field}`: {fault}", at_line(*.line), of_message(.message))]
+pub struct FieldError {
+    /// The line, from 1; 0 where there are none.
+    pub line: u64,
+    /// What kind of message it is in; empty where that can't be told.
+    pub message: String,
+    /// Its path.
+    pub field: String,
+    /// What is wrong with it.
+    pub fault: Fault,
+}
+
+fn at_line(line: u64) -> String {
+    if line > 0 {
+        format!("line {line}: ")
+    } else {
+        String::new()
+    }
+}
+
+fn of_message(name: &str) -> String {
+    if name.is_empty() {
+        String::new()
+    } else {
+        format!("{name}: ")
+    }
+}
+
+/// What can be wrong with a field.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Fault {
+    /// It is not there.
+    #[error("missing")]
+    Missing,
+    /// A pair without its sign.
+    #[error("no `=`")]
+    NoEquals,
+    /// It is no value of its kind.
+    #[error("`{0}` is not a proper value")]
+    Improper(String),
+    /// A number without bounds, or none.
+    #[error("not a finite number")]
+    Infinite,
+    /// It is no truth value.
+    #[error("`{0}` is neither 1 nor 0")]
+    NoFlag(String),
+    /// It is none of the words that may stand there.
+    #[error("`{0}` is not a known word")]
+    UnknownWord(String),
+    /// No message has this name.
+    #[error("`{0}` is not a known event")]
+    UnknownEvent(String),
+    /// Another message has to stand here.
+    #[error("{0} expected")]
+    Expected(&'static str),
+    /// An empty list that must not be.
+    #[error("names none")]
+    NamesNone,
+    /// Nothing of this number was begun.
+    #[error("no such instance")]
+    NoInstance,
+}
 
 /// One message: its name, its fields and its number in the input.
 pub struct Fields<'a> {
@@ -17,13 +83,17 @@
 
 impl<'a> Fields<'a> {
     /// Splits a line of the wire.
-    pub fn parse(text: &'a str, line: u64) -> Result<Self, String> {
+    pub fn parse(text: &'a str, line: u64) -> Result<Self, FieldError> {
         let mut parts = text.split('\t');
         let name = parts.next().unwrap_or_default();
         let mut values = BTreeMap::new();
         for part in parts {
-            let (key, value) =
-                part.split_once('=').ok_or_else(|| format!("line {line}: field `{part}`: no `=`"))?;
+            let (key, value) = part.split_once('=').ok_or_else(|| FieldError {
+                line,
+                message: String::new(),
+                field: part.to_owned(),
+                fault: Fault::NoEquals,
+            })?;
             values.insert(key, value);
         }
         Ok(Fields { name, values, line })
@@ -35,10 +105,9 @@
         Fields { name, values, line: 0 }
     }
 
-    /// A message that names the place and the field.
-    pub fn error(&self, field: &str, what: &str) -> String {
-        let line = if self.line > 0 { format!("line {}: ", self.line) } else { String::new() };
-        format!("{line}{}: field `{field}`: {what}", self.name)
+    /// Names the place and the field.
+    pub fn error(&self, field: &str, fault: Fault) -> FieldError {
+        FieldError { line: self.line, message: self.name.to_owned(), field: field.to_owned(), fault }
     }
 
     /// A text; empty where it is absent.
@@ -47,63 +116,63 @@
     }
 
     /// A text that must be there.
-    pub fn text(&self, field: &str) -> Result<&'a str, String> {
-        self.values.get(field).copied().ok_or_else(|| self.error(field, "missing"))
+    pub fn text(&self, field: &str) -> Result<&'a str, FieldError> {
+        self.values.get(field).copied().ok_or_else(|| self.error(field, Fault::Missing))
     }
 
     /// A value that may be absent.
-    pub fn optional<T: FromStr>(&self, field: &str) -> Result<Option<T>, String> {
+    pub fn optional<T: FromStr>(&self, field: &str) -> Result<Option<T>, FieldError> {
         let Some(value) = self.values.get(field) else { return Ok(None) };
-        value.parse().map(Some).map_err(|_| self.error(field, &format!("`{value}` is not a proper value")))
+        value.parse().map(Some).map_err(|_| self.error(field, Fault::Improper((*value).to_owned())))
     }
 
     /// A value that must be there.
-    pub fn number<T: FromStr>(&self, field: &str) -> Result<T, String> {
-        self.optional(field)?.ok_or_else(|| self.error(field, "missing"))
+    pub fn number<T: FromStr>(&self, field: &str) -> Result<T, FieldError> {
+        self.optional(field)?.ok_or_else(|| self.error(field, Fault::Missing))
     }
 
     /// A whole number that must be there.
-    pub fn int(&self, field: &str) -> Result<u64, String> {
+    pub fn int(&self, field: &str) -> Result<u64, FieldError> {
         self.number(field)
     }
 
     /// A finite number that must be there.
-    pub fn float(&self, field: &str) -> Result<f64, String> {
-        self.checked(field)?.ok_or_else(|| self.error(field, "missing"))
+    pub fn float(&self, field: &str) -> Result<f64, FieldError> {
+        self.checked(field)?.ok_or_else(|| self.error(field, Fault::Missing))
     }
 
     /// A finite number that may be absent.
-    pub fn checked(&self, field: &str) -> Result<Option<f64>, String> {
+    pub fn checked(&self, field: &str) -> Result<Option<f64>, FieldError> {
         match self.optional::<f64>(field)? {
-            Some(n) if !n.is_finite() => Err(self.error(field, "not a finite number")),
+            Some(n) if !n.is_finite() => Err(self.error(field, Fault::Infinite)),
             n => Ok(n),
         }
     }
 
     /// A finite number; absent means 0.
-    pub fn float_or_zero(&self, field: &str) -> Result<f64, String> {
+    pub fn float_or_zero(&self, field: &str) -> Result<f64, FieldError> {
         Ok(self.checked(field)?.unwrap_or(0.0))
     }
 
     /// A span in microseconds; absent means 0.
-    pub fn span_or_zero(&self, field: &str) -> Result<Micros, String> {
+    pub fn span_or_zero(&self, field: &str) -> Result<Micros, FieldError> {
         Ok(self.optional(field)?.unwrap_or(0))
     }
 
     /// A truth value; absent means false.
-    pub fn flag(&self, field: &str) -> Result<bool, String> {
+    pub fn flag(&self, field: &str) -> Result<bool, FieldError> {
         match self.values.get(field).copied() {
             None | Some("0" | "false") => Ok(false),
             Some("1" | "true") => Ok(true),
-            Some(other) => Err(self.error(field, &format!("`{other}` is neither 1 nor 0"))),
+            Some(other) => Err(self.error(field, Fault::NoFlag(other.to_owned()))),
         }
     }
 
     /// One of the words given.
-    pub fn choice<T: Copy>(&self, field: &str, choices: &[(&str, T)]) -> Result<T, String> {
+    pub fn choice<T: Copy>(&self, field: &str, choices: &[(&str, T)]) -> Result<T, FieldError> {
         let value = self.text(field)?;
         let found = choices.iter().find(|(name, _)| *name == value).map(|(_, choice)| *choice);
-        found.ok_or_else(|| self.error(field, &format!("`{value}` is not a known word")))
+        found.ok_or_else(|| self.error(field, Fault::UnknownWord(value.to_owned())))
     }
 }
 
@@ -117,7 +186,7 @@
 }
 
 /// Reads what a gatekeeper is told at its start.
-pub fn settings(f: &Fields) -> Result<(Settings, Names), String> {
+pub fn settings(f: &Fields) -> Result<(Settings, Names), FieldError> {
     let mut names = Names { classes: Vec::new(), plans: Vec::new() };
     let mut classes = Vec::new();
     for i in 0..f.optional::<usize>("services.count")?.unwrap_or(0) {
--- a/crates/gatekeeper/src/body.rs
+++ b/crates/gatekeeper/src/body.rs
@@ -6,11 +6,11 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use thiserror::Error;
 use tokio::time::{sleep, timeout_at, Duration, Instant, Sleep};
 
 /// The longest body of a request, in bytes: longer than anything that is sent in a client's time.
@@ -24,28 +24,19 @@
 const FLOW_AFTER: Duration = Duration::from_millis(150);
 
 /// Why a body ends before its time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Broken {
     /// Its connection ended, or its framing is bad.
+    #[error("the body broke off")]
     Connection,
     /// Nothing came for too long.
+    #[error("the body stalled")]
     Stalled,
     /// It is longer than anything that is taken.
+    #[error("the body is too long")]
     TooLong,
 }
 
-impl fmt::Display for Broken {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.write_str(match self {
-            Broken::Connection => "the body broke off",
-            Broken::Stalled => "the body stalled",
-            Broken::TooLong => "the body is too long",
-        })
-    }
-}
-
-impl std::error::Error for Broken {}
-
 type Part = Result<Frame<Bytes>, Broken>;
 
 /// Bytes that may be held for all requests and answers together.
--- a/crates/gatekeeper/src/config.rs
+++ b/crates/gatekeeper/src/config.rs
@@ -1,17 +1,87 @@
 //! What the gatekeeper is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
 
-use granitelead_decisions::settings::{flatten, settings, Fields, Names};
+use granitelead_decisions::settings::{flatten, settings, Fault, FieldError, Fields, Names};
 use granitelead_decisions::{Micros, Settings};
 use granitelead_list::forms::HostList;
 use granitelead_list::sources::FURTHER_MAX;
 use serde::Deserialize;
+use std::io;
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
 use std::time::Duration;
+use thiserror::Error;
 
 /// Callers at the operators' door at once. One more makes the one that has been there the longest leave.
 pub const CALLERS_MAX: usize = 12;
 
+/// Why a configuration is not taken. Its text names the field.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The variable that says where the file is has no value.
+    #[error("RELAY_CONFIG is not set")]
+    NoPath,
+    /// The file can't be read.
+    #[error("RELAY_CONFIG: {path}: {error}")]
+    Unread {
+        /// Where it should be.
+        path: String,
+        /// Why not.
+        error: io::Error,
+    },
+    /// It is not of the form of a configuration.
+    #[error("configuration: {0}")]
+    Form(#[from] serde_json::Error),
+    /// A field of the settings.
+    #[error(transparent)]
+    Settings(#[from] FieldError),
+    /// Another field.
+    #[error("configuration: field `{field}`: {fault}")]
+    Field {
+        /// Its path.
+        field: String,
+        /// What is wrong with it.
+        fault: ConfigFault,
+    },
+}
+
+/// What can be wrong with a field.
+#[derive(Debug, Error)]
+pub enum ConfigFault {
+    /// It is not there.
+    #[error("missing")]
+    Missing,
+    /// It is no limit.
+    #[error("{0} is no whole number above 0")]
+    NoCount(serde_json::Value),
+    /// A part that is larger than the whole.
+    #[error("{0} is more than the {1} there are")]
+    MoreThanAll(usize, usize),
+    /// Nothing can be served with it.
+    #[error("{0} is too few")]
+    TooFew(usize),
+    /// It is no size.
+    #[error("{0} is no amount")]
+    NoAmount(f64),
+    /// It is no truth value.
+    #[error("{0} is neither true nor false")]
+    NoFlag(serde_json::Value),
+    /// It is no seed.
+    #[error("`{0}` is not hexadecimal")]
+    NotHexadecimal(String),
+    /// It is nowhere to connect to.
+    #[error("`{0}` is not an address with a port")]
+    NoAddress(String),
+    /// A list that is too long.
+    #[error("more than {0} addresses")]
+    TooManyAddresses(usize),
+}
+
+impl ConfigFault {
+    fn of(self, field: impl Into<String>) -> ConfigError {
+        ConfigError::Field { field: field.into(), fault: self }
+    }
+}
+
 /// The configuration as it is written down.
 #[derive(Deserialize)]
 struct File {
@@ -39,9 +109,9 @@
 
 impl File {
     /// A limit on connections; none where it is absent.
-    fn limit(&self, field: &str) -> Result<Option<usize>, String> {
+    fn limit(&self, field: &str) -> Result<Option<usize>, ConfigError> {
         let bad = |value: &serde_json::Value| {
-            format!("configuration: field `connections.{field}`: {value} is no whole number above 0")
+            ConfigFault::NoCount(value.clone()).of(format!("connections.{field}"))
         };
         let value = self.connections.get(field);
         let number = |value: &serde_json::Value| {
@@ -52,19 +122,17 @@
     }
 
     /// The same, of which there is only so much.
-    fn limit_of(&self, field: &str, all: usize) -> Result<Option<usize>, String> {
+    fn limit_of(&self, field: &str, all: usize) -> Result<Option<usize>, ConfigError> {
         match self.limit(field)? {
-            Some(n) if n > all => Err(format!(
-                "configuration: field `connections.{field}`: {n} is more than the {all} there are"
-            )),
+            Some(n) if n > all => Err(ConfigFault::MoreThanAll(n, all).of(format!("connections.{field}"))),
             limit => Ok(limit),
         }
     }
 
-    fn load(variable: &impl Fn(&str) -> Option<String>) -> Result<File, String> {
-        let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
-        serde_json::from_str(&text).map_err(|e| format!("configuration: {e}"))
+    fn load(variable: &impl Fn(&str) -> Option<String>) -> Result<File, ConfigError> {
+        let path = variable("RELAY_CONFIG").ok_or(ConfigError::NoPath)?;
+        let text = std::fs::read_to_string(&path).map_err(|error| ConfigError::Unread { path, error })?;
+        Ok(serde_json::from_str(&text)?)
     }
 }
 
@@ -121,7 +189,7 @@
 
 impl Config {
     /// Reads the file that `RELAY_CONFIG` names. The message of an error names the field.
-    pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         Config::check(File::load(&variable)?, variable)
     }
 
@@ -129,7 +197,7 @@
     /// The file goes before the variable, which is as old as the process.
     pub fn moved(
         variable: impl Fn(&str) -> Option<String>,
-    ) -> Result<(Vec<SocketAddr>, Option<SocketAddr>), String> {
+    ) -> Result<(Vec<SocketAddr>, Option<SocketAddr>), ConfigError> {
         let file = File::load(&variable)?;
         let first = file.discovery.or_else(|| variable("RELAY_DISCOVERY"));
         Ok((discovery(first, file.discovery_more)?, counter(file.counter)?))
@@ -141,7 +209,7 @@
         Duration::from_micros(longest.unwrap_or(0))
     }
 
-    fn check(file: File, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    fn check(file: File, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let mut pairs = Vec::new();
         flatten("", &file.settings, &mut pairs);
         let fields = Fields::from_pairs("settings", &pairs);
@@ -151,20 +219,20 @@
         settings.limits.max_retry_after = settings.limits.max_retry_after.max(advice);
         for (field, names) in [("services", &names.classes), ("tiersOfService", &names.plans)] {
             if names.is_empty() {
-                return Err(fields.error(field, "names none"));
+                return Err(fields.error(field, Fault::NamesNone).into());
             }
         }
-        let span = |field: &str| -> Result<Duration, String> {
+        let span = |field: &str| -> Result<Duration, ConfigError> {
             Ok(Duration::from_micros(fields.optional::<Micros>(field)?.filter(|n| *n > 0).unwrap_or(250_000)))
         };
         let ask_within = fields.span_or_zero("rules.askWithinUs")?;
         let sockets = file.limits.sockets;
         if sockets < 2 * SPARE_SOCKETS {
-            return Err(format!("configuration: field `limits.sockets`: {sockets} is too few"));
+            return Err(ConfigFault::TooFew(sockets).of("limits.sockets"));
         }
         let memory = file.limits.memory_mb;
         if !(memory.is_finite() && memory > 0.0) {
-            return Err(format!("configuration: field `limits.memory_mb`: {memory} is no amount"));
+            return Err(ConfigFault::NoAmount(memory).of("limits.memory_mb"));
         }
         let share = sockets - SPARE_SOCKETS;
         let memory = (memory * f64::from(1 << 20)) as usize;
@@ -175,9 +243,10 @@
         let servers_max = servers_max.unwrap_or(share / 3);
         let half_close = match file.connections.get("half_close") {
             None => false,
-            Some(value) => value.as_bool().ok_or_else(|| {
-                format!("configuration: field `connections.half_close`: {value} is neither true nor false")
-            })?,
+            Some(value) => {
+                let bad = || ConfigFault::NoFlag(value.clone()).of("connections.half_close");
+                value.as_bool().ok_or_else(bad)?
+            }
         };
         Ok(Config {
             per_source_max: file.limit_of("per_source", clients_max)?.unwrap_or(clients_max),
@@ -191,7 +260,7 @@
             counter: counter(file.counter)?,
             admin: optional("admin_addr", variable("RELAY_ADMIN_ADDR").or(file.admin_addr))?,
             seed: u64::from_str_radix(&file.seed, 16)
-                .map_err(|_| format!("configuration: field `seed`: `{}` is not hexadecimal", file.seed))?,
+                .map_err(|_| ConfigFault::NotHexadecimal(file.seed.clone()).of("seed"))?,
             known: file.known,
             ask_within: Duration::from_micros(if ask_within > 0 { ask_within } else { ASK_WITHIN }),
             connect_timeout: span("limits.connectTimeoutUs")?,
@@ -206,9 +275,9 @@
 }
 
 /// All addresses of the list, each once.
-fn discovery(first: Option<String>, more: Vec<String>) -> Result<Vec<SocketAddr>, String> {
+fn discovery(first: Option<String>, more: Vec<String>) -> Result<Vec<SocketAddr>, ConfigError> {
     if more.len() > FURTHER_MAX {
-        return Err(format!("configuration: field `discovery_more`: more than {FURTHER_MAX} addresses"));
+        return Err(ConfigFault::TooManyAddresses(FURTHER_MAX).of("discovery_more"));
     }
     let mut places = vec![address("discovery", first)?];
     for at in more {
@@ -220,17 +289,15 @@
     Ok(places)
 }
 
-fn counter(value: Option<String>) -> Result<Option<SocketAddr>, String> {
+fn counter(value: Option<String>) -> Result<Option<SocketAddr>, ConfigError> {
     optional("counter", value)
 }
 
-fn optional(field: &str, value: Option<String>) -> Result<Option<SocketAddr>, String> {
+fn optional(field: &str, value: Option<String>) -> Result<Option<SocketAddr>, ConfigError> {
     value.map(|at| address(field, Some(at))).transpose()
 }
 
-fn address(field: &str, value: Option<String>) -> Result<SocketAddr, String> {
-    let value = value.ok_or_else(|| format!("configuration: field `{field}`: missing"))?;
-    value
-        .parse()
-        .map_err(|_| format!("configuration: field `{field}`: `{value}` is not an address with a port"))
+fn address(field: &str, value: Option<String>) -> Result<SocketAddr, ConfigError> {
+    let value = value.ok_or_else(|| ConfigFault::Missing.of(field))?;
+    value.parse().map_err(|_| ConfigFault::NoAddress(value).of(field))
 }
--- a/crates/gatekeeper/src/lifecycle/run.rs
+++ b/crates/gatekeeper/src/lifecycle/run.rs
@@ -3,7 +3,7 @@
 use crate::clients::side::ClientSide;
 use crate::config::Config;
 use crate::driver::Driver;
-use crate::lifecycle::handover::{listen, meeting_place, Upgrade};
+use crate::lifecycle::handover::{listen, meeting_place, Predecessor, Upgrade};
 use crate::list::{follow, Book};
 use crate::operators::by_hand::ByHand;
 use crate::operators::door::Door;
@@ -12,12 +12,15 @@
 use granitelead_decisions::ListScope;
 use granitelead_list::follower::{Follower, Pace};
 use granitelead_list::sources::Sources;
-use std::path::PathBuf;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
@@ -32,91 +35,43 @@
     base::run("granitelead", || Config::load(|name| std::env::var(name).ok()), serve)
 }
 
-async fn serve(config: Config) -> Result<(), String> {
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
+/// Why a gatekeeper does not start.
+#[derive(Debug, Error)]
+enum StartError {
+    #[error("no signals: {0}")]
+    Signals(io::Error),
+    #[error("field `{field}`: {at}: {error}")]
+    Bind { field: &'static str, at: SocketAddr, error: io::Error },
+}
+
+/// A gatekeeper's life: its sides are built and joined, then it serves until it is told to stop or a successor has
+/// taken over, and ends once all that was taken is answered.
+async fn serve(config: Config) -> Result<(), StartError> {
+    let (mut term, hangup) = (on(SignalKind::terminate())?, on(SignalKind::hangup())?);
     let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from);
     let place = folder.as_deref().map(meeting_place);
-    let listened = listen(config.listen, place.as_deref()).await;
-    let (listener, predecessor) = listened.map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
-    let listener = Rc::new(listener);
-    let bound = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
-    eprintln!("granitelead: listening on {bound}");
-    let door = match config.admin {
-        Some(at) => Some(TcpListener::bind(at).await.map_err(|e| format!("field `admin_addr`: {at}: {e}"))?),
-        None => None,
-    };
-    if let Some(at) = door.as_ref().and_then(|door| door.local_addr().ok()) {
-        eprintln!("granitelead: operators call at {at}");
-    }
+    let (listener, predecessor) = clients_listener(config.listen, place.as_deref()).await?;
+    let door = operators_listener(config.admin).await?;
+
     let driver = Driver::new(&config);
-    let summed = driver.clone();
     let side = ClientSide::new(driver.clone(), &config);
-    let (discovery, agent) = watch::channel(config.discovery.clone());
     let book = Rc::new(Book::default());
     let by_hand = ByHand::new(driver.clone(), book.clone(), folder.as_deref());
     let limits = (config.clients_max, config.servers_max);
     let upgrade = Upgrade::new(driver.clone(), side.clone(), book.clone(), by_hand.clone(), limits);
+
     by_hand.follow();
     if let Some(listener) = door {
         spawn_local(Door::new(side.clone(), by_hand).answer_calls(listener));
     }
-    book.apply(&driver, &config.known, ListScope::Cached);
-    let pace = if config.settings.subscribe { Pace::shared } else { Pace::own };
-    let pace = pace(config.settings.instances, config.ask_within, config.seed)
-        .comparing_after(config.discovery_compare);
-    let follower =
-        Follower::new(Sources::new(config.discovery.clone(), &config.known), pace, driver.listing.clone());
-    spawn_local({
-        let (driver, side) = (driver.clone(), side.clone());
-        follow(driver, book, follower, agent, move || side.set_ready())
-    });
-    if !config.known.targets.is_empty() {
-        // The list of before serves well enough until discovery answers, which may take long.
-        side.set_ready();
-    }
-    spawn_local({
-        let driver = driver.clone();
-        async move { driver.counter.run(driver.clone()).await }
-    });
-    spawn_local({
-        let driver = driver.clone();
-        async move {
-            while hangup.recv().await.is_some() {
-                match Config::moved(|name| std::env::var(name).ok()) {
-                    Ok((at, counter)) => {
-                        eprintln!("granitelead: reloaded: discovery {at:?}, counter {counter:?}");
-                        discovery.send_if_modified(|known| std::mem::replace(known, at.clone()) != at);
-                        driver.counter.move_to(counter);
-                    }
-                    Err(message) => eprintln!("granitelead: not reloaded: {message}"),
-                }
-            }
-        }
-    });
+    let discovery = follow_list(&config, &driver, &side, book);
+    spawn_local(keep_counter(driver.clone()));
+    spawn_local(reload(hangup, discovery, driver.clone()));
     spawn_local(side.clone().take_turns());
-    let looks = side.clone();
-    spawn_local(async move {
-        for turn in 1u64.. {
-            tokio::time::sleep(times::LOOK).await;
-            looks.look();
-            if turn % RETIRE_EVERY == 0 {
-                driver.servers.retire_idle();
-            }
-        }
-    });
+    spawn_local(look_after_connections(side.clone(), driver.clone()));
     side.set_accepts(predecessor.is_none());
-    let upgrades = spawn_local({
-        let listener = listener.clone();
-        async move {
-            if let Some(predecessor) = predecessor {
-                upgrade.take_over(predecessor).await;
-            }
-            if let Some(place) = place {
-                upgrade.offer(listener, place).await;
-            }
-        }
-    });
+    let upgrades = spawn_local(upgrade_both_ways(upgrade, predecessor, listener.clone(), place));
+
     tokio::select! {
         () = side.accept(&listener) => {}
         () = side.until_left() => {}
@@ -127,7 +82,98 @@
         upgrades.abort();
     }
     side.stop(listener, config.longest_deadline() + STOP_SPARE).await;
-    let (ended, open) = (summed.telemetry.total(), summed.telemetry.inflight());
+    let (ended, open) = (driver.telemetry.total(), driver.telemetry.inflight());
     eprintln!("granitelead: stopped: {ended:?}, {open} unanswered");
     Ok(())
 }
+
+fn on(kind: SignalKind) -> Result<Signal, StartError> {
+    signal(kind).map_err(StartError::Signals)
+}
+
+/// The clients' listening socket, from the process before where there is one.
+async fn clients_listener(
+    at: SocketAddr,
+    place: Option<&Path>,
+) -> Result<(Rc<TcpListener>, Option<Predecessor>), StartError> {
+    let bind = |error| StartError::Bind { field: "listen", at, error };
+    let (listener, predecessor) = listen(at, place).await.map_err(bind)?;
+    eprintln!("granitelead: listening on {}", listener.local_addr().map_err(bind)?);
+    Ok((Rc::new(listener), predecessor))
+}
+
+async fn operators_listener(at: Option<SocketAddr>) -> Result<Option<TcpListener>, StartError> {
+    let Some(at) = at else { return Ok(None) };
+    let bind = |error| StartError::Bind { field: "admin_addr", at, error };
+    let listener = TcpListener::bind(at).await.map_err(bind)?;
+    eprintln!("granitelead: operators call at {}", listener.local_addr().map_err(bind)?);
+    Ok(Some(listener))
+}
+
+/// Begins with the list of before, where there is one, and follows discovery from then on; the sender says where it
+/// is.
+fn follow_list(
+    config: &Config,
+    driver: &Rc<Driver>,
+    side: &Rc<ClientSide>,
+    book: Rc<Book>,
+) -> watch::Sender<Vec<SocketAddr>> {
+    let (discovery, places) = watch::channel(config.discovery.clone());
+    book.apply(driver, &config.known, ListScope::Cached);
+    if !config.known.targets.is_empty() {
+        // The list of before serves well enough until discovery answers, which may take long.
+        side.set_ready();
+    }
+    let pace = if config.settings.subscribe { Pace::shared } else { Pace::own };
+    let pace = pace(config.settings.instances, config.ask_within, config.seed)
+        .comparing_after(config.discovery_compare);
+    let sources = Sources::new(config.discovery.clone(), &config.known);
+    let follower = Follower::new(sources, pace, driver.listing.clone());
+    let (driver, side) = (driver.clone(), side.clone());
+    spawn_local(follow(driver, book, follower, places, move || side.set_ready()));
+    discovery
+}
+
+async fn keep_counter(driver: Rc<Driver>) {
+    driver.counter.run(driver.clone()).await;
+}
+
+/// Reads the file again at each hangup, for the addresses that may move.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<Vec<SocketAddr>>, driver: Rc<Driver>) {
+    while hangup.recv().await.is_some() {
+        match Config::moved(|name| std::env::var(name).ok()) {
+            Ok((at, counter)) => {
+                eprintln!("granitelead: reloaded: discovery {at:?}, counter {counter:?}");
+                discovery.send_if_modified(|known| std::mem::replace(known, at.clone()) != at);
+                driver.counter.move_to(counter);
+            }
+            Err(error) => eprintln!("granitelead: not reloaded: {error}"),
+        }
+    }
+}
+
+/// Ends connections that have had their time, on both sides, for ever.
+async fn look_after_connections(side: Rc<ClientSide>, driver: Rc<Driver>) {
+    for turn in 1u64.. {
+        tokio::time::sleep(times::LOOK).await;
+        side.look();
+        if turn % RETIRE_EVERY == 0 {
+            driver.servers.retire_idle();
+        }
+    }
+}
+
+/// Takes over from the process before, and then waits for the next one.
+async fn upgrade_both_ways(
+    upgrade: Rc<Upgrade>,
+    predecessor: Option<Predecessor>,
+    listener: Rc<TcpListener>,
+    place: Option<PathBuf>,
+) {
+    if let Some(predecessor) = predecessor {
+        upgrade.take_over(predecessor).await;
+    }
+    if let Some(place) = place {
+        upgrade.offer(listener, place).await;
+    }
+}
--- a/crates/list-service/src/lib.rs
+++ b/crates/list-service/src/lib.rs
@@ -15,12 +15,14 @@
 use lexopt::{Arg, Parser, ValueExt};
 use registry::Registry;
 use service::{unix_ms, Service};
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use store::{Store, LOG_MAX};
+use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
@@ -52,6 +54,40 @@
     new: bool,
 }
 
+/// What is wrong with the command line.
+#[derive(Debug, Error)]
+enum OptionError {
+    #[error("{0}")]
+    Words(#[from] lexopt::Error),
+    #[error("`{0}` is not asked for")]
+    NotAskedFor(String),
+    #[error("{name}: {error}")]
+    Value { name: String, error: lexopt::Error },
+    #[error("{0}: no such option")]
+    Unknown(String),
+    #[error("one of --data and --mirror-of has to be given")]
+    NoSource,
+    #[error("--listen is missing")]
+    NoListen,
+    #[error("--settle-ms, --guard-ms: at most {0}")]
+    SpanTooLong(u64),
+    #[error("--connections: from {0} to {1}")]
+    Connections(usize, usize),
+}
+
+/// Why the service ends with a failure.
+#[derive(Debug, Error)]
+enum ServeError {
+    #[error("no signals: {0}")]
+    Signals(io::Error),
+    #[error("--data {folder}: {error}")]
+    Folder { folder: String, error: io::Error },
+    #[error("--listen {at}: {error}")]
+    Listen { at: SocketAddr, error: io::Error },
+    #[error("the disk's task: {0}")]
+    Disk(#[from] tokio::task::JoinError),
+}
+
 enum From {
     Folder(PathBuf),
     Other(SocketAddr),
@@ -59,17 +95,19 @@
 
 impl Options {
     /// Reads the command line; none where only help is asked for.
-    fn read(mut words: Parser) -> Result<Option<Options>, String> {
+    fn read(mut words: Parser) -> Result<Option<Options>, OptionError> {
         let (mut listen, mut folder, mut mirror_of, mut new) = (None, None, None, false);
         let (mut settle_ms, mut guard_ms, mut connections) = (SETTLE_MS, GUARD_MS, CONNECTIONS);
-        while let Some(word) = words.next().map_err(|e| e.to_string())? {
+        while let Some(word) = words.next()? {
             let name = match &word {
                 Arg::Long(name) => format!("--{name}"),
                 Arg::Short(name) => format!("-{name}"),
-                Arg::Value(value) => return Err(format!("`{}` is not asked for", value.to_string_lossy())),
+                Arg::Value(value) => {
+                    return Err(OptionError::NotAskedFor(value.to_string_lossy().into_owned()))
+                }
             };
-            let mut value = || words.value().map_err(|e| e.to_string());
-            let bad = |e: lexopt::Error| format!("{name}: {e}");
+            let mut value = || words.value();
+            let bad = |error| OptionError::Value { name: name.clone(), error };
             match name.as_str() {
                 "--listen" => listen = Some(value()?.parse().map_err(bad)?),
                 "--data" => folder = Some(PathBuf::from(value()?)),
@@ -79,21 +117,21 @@
                 "--connections" => connections = value()?.parse().map_err(bad)?,
                 "--new" => new = true,
                 "--help" | "-h" => return Ok(None),
-                _ => return Err(format!("{name}: no such option")),
+                _ => return Err(OptionError::Unknown(name)),
             }
         }
         let from = match (folder, mirror_of) {
             (Some(folder), None) => From::Folder(folder),
             (None, Some(at)) => From::Other(at),
-            _ => return Err("one of --data and --mirror-of has to be given".into()),
+            _ => return Err(OptionError::NoSource),
         };
-        let listen = listen.ok_or("--listen is missing")?;
+        let listen = listen.ok_or(OptionError::NoListen)?;
         if settle_ms > SPAN_MAX_MS || guard_ms > SPAN_MAX_MS {
-            return Err(format!("--settle-ms, --guard-ms: at most {SPAN_MAX_MS}"));
+            return Err(OptionError::SpanTooLong(SPAN_MAX_MS));
         }
         let (least, most) = CONNECTIONS_RANGE;
         if !(least..=most).contains(&connections) {
-            return Err(format!("--connections: from {least} to {most}"));
+            return Err(OptionError::Connections(least, most));
         }
         let settle = Duration::from_millis(if new { 0 } else { settle_ms });
         Ok(Some(Options { listen, from, settle, guard_ms, connections, new }))
@@ -105,33 +143,30 @@
     granitelead_base::run("granitelead-discovery", || Options::read(Parser::from_env()), serve)
 }
 
-async fn serve(options: Option<Options>) -> Result<(), String> {
+async fn serve(options: Option<Options>) -> Result<(), ServeError> {
     let Some(options) = options else {
         println!("{USAGE}");
         return Ok(());
     };
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-    let opened = match &options.from {
+    let mut term = signal(SignalKind::terminate()).map_err(ServeError::Signals)?;
+    let (service, store) = match &options.from {
         From::Folder(folder) => {
-            Some(open(folder, &options).map_err(|e| format!("--data {}: {e}", folder.display()))?)
+            let bad = |error| ServeError::Folder { folder: folder.display().to_string(), error };
+            let (service, store) = open(folder, &options).map_err(bad)?;
+            (service, Some(store))
         }
-        From::Other(_) => None,
-    };
-    let listener = TcpListener::bind(options.listen).await;
-    let listener = listener.map_err(|e| format!("--listen {}: {e}", options.listen))?;
-    let bound = listener.local_addr().map_err(|e| format!("--listen: {e}"))?;
-    let (service, store) = match (opened, &options.from) {
-        (Some((service, store)), _) => (service, Some(store)),
-        (None, From::Other(at)) => (mirror(*at), None),
-        (None, From::Folder(_)) => return Err("no folder".into()),
+        From::Other(at) => (mirror(*at), None),
     };
+    let bad = |error| ServeError::Listen { at: options.listen, error };
+    let listener = TcpListener::bind(options.listen).await.map_err(bad)?;
+    let bound = listener.local_addr().map_err(bad)?;
     let front = Front::new(service.clone(), options.connections);
     spawn_local(service.clone().look_after_leases());
     spawn_local(front.accept(listener));
     eprintln!("granitelead-discovery: listening on {bound}");
     let kept = async {
         match store {
-            Some(store) => service.keep_changes(store).await,
+            Some(store) => Ok(service.keep_changes(store).await?),
             None => std::future::pending().await,
         }
     };
--- a/crates/list-service/src/registry.rs
+++ b/crates/list-service/src/registry.rs
@@ -3,8 +3,8 @@
 use granitelead_list::forms::{Leased, OnLease, Register, Target};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
-use std::fmt;
 use std::net::SocketAddr;
+use thiserror::Error;
 
 /// Leases at once: the list of the longest entries is a line that every gatekeeper takes.
 pub const LEASES_MAX: usize = 8_000;
@@ -37,29 +37,22 @@
 }
 
 /// Why a call changes nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Refusal {
     /// A field's value can't be.
+    #[error("field `{0}` has no proper value")]
     Bad(&'static str),
     /// The lease is known to nobody: register.
+    #[error("no such lease; register")]
     UnknownLease,
     /// A later process of this server, or one elsewhere, holds it now: do not register again.
+    #[error("another process of this server is registered")]
     Superseded,
     /// There are as many leases as there may be.
+    #[error("there are too many leases")]
     Full,
 }
 
-impl fmt::Display for Refusal {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            Refusal::Bad(field) => write!(f, "field `{field}` has no proper value"),
-            Refusal::UnknownLease => f.write_str("no such lease; register"),
-            Refusal::Superseded => f.write_str("another process of this server is registered"),
-            Refusal::Full => f.write_str("there are too many leases"),
-        }
-    }
-}
-
 /// Something for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Noted {
--- a/crates/list-service/src/service.rs
+++ b/crates/list-service/src/service.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{watch, Notify};
+use tokio::task::JoinError;
 use tokio::time::{timeout, Duration, Instant};
 
 /// Changes that wait for the disk, at most.
@@ -184,7 +185,7 @@
     }
 
     /// Brings changes to the disk and then to the board, for ever: all that wait at once.
-    pub async fn keep_changes(self: Rc<Self>, mut store: Store) -> Result<(), String> {
+    pub async fn keep_changes(self: Rc<Self>, mut store: Store) -> Result<(), JoinError> {
         loop {
             let batch = Arc::new(self.pending.take());
             if batch.is_empty() {
@@ -197,7 +198,7 @@
                     let wrote = store.append(&records);
                     (store, wrote)
                 });
-                let (back, wrote) = wrote.await.map_err(|e| format!("the disk's task: {e}"))?;
+                let (back, wrote) = wrote.await?;
                 store = back;
                 self.failing.set(wrote.is_err());
                 let Err(e) = wrote else { break };
--- a/crates/list/src/follower.rs
+++ b/crates/list/src/follower.rs
@@ -14,8 +14,10 @@
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
 use std::cell::Cell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{sleep_until, timeout, Duration, Instant};
@@ -37,6 +39,35 @@
 /// Another source is asked for its version after one to two times this, and for each gatekeeper that.
 const COMPARE: (Duration, Duration) = (Duration::from_secs(20), Duration::from_millis(200));
 
+/// Why a watch, or a call about the list, has ended.
+#[derive(Debug, Error)]
+enum Ended {
+    #[error("no connection in time")]
+    ConnectsLate,
+    #[error("{0}")]
+    Connect(#[from] io::Error),
+    #[error("no place")]
+    NoPlace,
+    #[error("no answer in time")]
+    AnswersLate,
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("{0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("answered {0}")]
+    Status(StatusCode),
+    #[error("the watch fell silent")]
+    Silent,
+    #[error("a line: {0}")]
+    Line(#[from] serde_json::Error),
+    #[error("a line has no end")]
+    EndlessLine,
+    #[error("{0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error(transparent)]
+    Odd(#[from] Odd),
+}
+
 /// How calls for the list are spaced.
 pub struct Pace {
     backoff: Backoff,
@@ -188,13 +219,13 @@
         &mut self,
         at: SocketAddr,
         take: &mut impl FnMut(&HostList, ListScope),
-    ) -> Result<(), String> {
+    ) -> Result<(), Ended> {
         let mut call = Call::connect(at).await?;
         let answer = call.get(&self.sources.begin(), self.pace.head).await?;
         match answer.status() {
             StatusCode::OK => {}
-            StatusCode::CONFLICT => return Err(self.sources.ahead().to_string()),
-            status => return Err(format!("answered {status}")),
+            StatusCode::CONFLICT => return Err(self.sources.ahead().into()),
+            status => return Err(Ended::Status(status)),
         }
         let mut body = answer.into_body();
         let mut buffer = BytesMut::new();
@@ -203,7 +234,7 @@
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
-                () = sleep_until(silent.get()) => return Err("the watch fell silent".into()),
+                () = sleep_until(silent.get()) => return Err(Ended::Silent),
                 () = sleep_until(compare) => {
                     compare = self.pace.next_compare();
                     self.compare().await?;
@@ -212,21 +243,21 @@
             };
             silent.set(Instant::now() + SILENT);
             let Some(frame) = frame else { return Ok(()) };
-            let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
+            let Ok(data) = frame?.into_data() else { continue };
             buffer.extend_from_slice(&data);
             while let Some(end) = buffer.iter().position(|b| *b == b'\n') {
                 let line = buffer.split_to(end + 1);
                 let mut stale_ms = None;
                 if !line.trim_ascii().is_empty() {
-                    let list: HostList = serde_json::from_slice(&line).map_err(|e| format!("a line: {e}"))?;
+                    let list: HostList = serde_json::from_slice(&line)?;
                     stale_ms = list.stale_ms;
                     self.hear(&list, take).await?;
                 }
                 self.listing.hear(stale_ms);
-                self.sources.goes_on(std::time::Instant::now(), stale_ms).map_err(|odd| odd.to_string())?;
+                self.sources.goes_on(std::time::Instant::now(), stale_ms)?;
             }
             if buffer.len() > LINE_MAX {
-                return Err("a line has no end".into());
+                return Err(Ended::EndlessLine);
             }
         }
     }
@@ -235,12 +266,12 @@
         &mut self,
         list: &HostList,
         take: &mut impl FnMut(&HostList, ListScope),
-    ) -> Result<(), String> {
+    ) -> Result<(), Ended> {
         let scope = match self.sources.hear(list) {
             Heard::Take(scope) => scope,
             Heard::Suspect(scope) => {
                 if self.is_refuted(list).await {
-                    return Err(Odd::NearlyNone.to_string());
+                    return Err(Odd::NearlyNone.into());
                 }
                 self.sources.accept(list);
                 scope
@@ -251,7 +282,7 @@
                 note(&self.odd, format_args!("discovery: version {} after {known}", list.rev));
                 return Ok(());
             }
-            Heard::Leave(odd) => return Err(odd.to_string()),
+            Heard::Leave(odd) => return Err(odd.into()),
         };
         take(list, scope);
         let (rev, epoch) = self.sources.known();
@@ -272,7 +303,7 @@
     }
 
     /// Asks another source whether the one that is watched has come to a stop.
-    async fn compare(&mut self) -> Result<(), String> {
+    async fn compare(&mut self) -> Result<(), Ended> {
         if self.sources.known().1.is_none() {
             return Ok(());
         }
@@ -280,7 +311,7 @@
         let asked = async { Call::connect(at).await?.read::<Revision>(REVISION, DOUBT_ANSWER).await };
         // One that says nothing proves nothing.
         let Ok(Ok(other)) = timeout(DOUBT_ANSWER, asked).await else { return Ok(()) };
-        self.sources.compare(std::time::Instant::now(), &other).map_err(|odd| odd.to_string())
+        Ok(self.sources.compare(std::time::Instant::now(), &other)?)
     }
 }
 
@@ -297,32 +328,31 @@
 }
 
 impl Call {
-    async fn connect(at: SocketAddr) -> Result<Call, String> {
+    async fn connect(at: SocketAddr) -> Result<Call, Ended> {
         let stream = timeout(CONNECT, TcpStream::connect(at)).await;
-        let stream = stream.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
-        let place = Place::take(&Rc::default(), 1).ok_or("no place")?;
+        let stream = stream.map_err(|_| Ended::ConnectsLate)??;
+        let place = Place::take(&Rc::default(), 1).ok_or(Ended::NoPlace)?;
         let wire = Wire::new(stream, place);
-        let (sender, conn) = hyper::client::conn::http1::handshake(TokioIo::new(WireIo(wire.clone())))
-            .await
-            .map_err(|e| e.to_string())?;
+        let (sender, conn) =
+            hyper::client::conn::http1::handshake(TokioIo::new(WireIo(wire.clone()))).await?;
         let task = tokio::task::spawn_local(async move { drop(conn.await) });
         wire.driven_by(task.abort_handle());
         Ok(Call { wire, sender })
     }
 
-    async fn get(&mut self, path: &str, time: Duration) -> Result<Response<Incoming>, String> {
+    async fn get(&mut self, path: &str, time: Duration) -> Result<Response<Incoming>, Ended> {
         let request = Request::get(path).header(HOST, "discovery").body(Empty::new());
-        let answer = self.sender.send_request(request.map_err(|e| e.to_string())?);
-        timeout(time, answer).await.map_err(|_| "no answer in time")?.map_err(|e| e.to_string())
+        let answer = self.sender.send_request(request?);
+        Ok(timeout(time, answer).await.map_err(|_| Ended::AnswersLate)??)
     }
 
-    async fn read<T: DeserializeOwned>(mut self, path: &str, time: Duration) -> Result<T, String> {
+    async fn read<T: DeserializeOwned>(mut self, path: &str, time: Duration) -> Result<T, Ended> {
         let answer = self.get(path, time).await?;
         if answer.status() != StatusCode::OK {
-            return Err(format!("answered {}", answer.status()));
+            return Err(Ended::Status(answer.status()));
         }
-        let body = Limited::new(answer.into_body(), LINE_MAX).collect().await.map_err(|e| e.to_string())?;
-        serde_json::from_slice(&body.to_bytes()).map_err(|e| e.to_string())
+        let body = Limited::new(answer.into_body(), LINE_MAX).collect().await.map_err(Ended::Body)?;
+        Ok(serde_json::from_slice(&body.to_bytes())?)
     }
 }
 
--- a/crates/list/src/sources.rs
+++ b/crates/list/src/sources.rs
@@ -3,9 +3,9 @@
 use crate::forms::{HostList, Revision, HOSTS};
 use granitelead_decisions::ListScope;
 use std::collections::{HashSet, VecDeque};
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 
 /// Most further sources beside the first.
 pub const FURTHER_MAX: usize = 4;
@@ -32,29 +32,22 @@
 }
 
 /// Why a source is left.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Odd {
-    /// It is behind what is known.
+    /// Its version is lower.
+    #[error("it is behind the list that is known")]
     Older,
     /// It says that it has heard nothing for long, or does not come up to another.
+    #[error("it is stale")]
     Stale,
-    /// It tells of another list.
+    /// Its versions are of another line.
+    #[error("it tells of another list")]
     OtherList,
-    /// It tells of hardly any server, another of many.
+    /// Its list would leave next to nobody.
+    #[error("it lists hardly any server, another one many")]
     NearlyNone,
 }
 
-impl fmt::Display for Odd {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.write_str(match self {
-            Odd::Older => "it is behind the list that is known",
-            Odd::Stale => "it is stale",
-            Odd::OtherList => "it tells of another list",
-            Odd::NearlyNone => "it lists hardly any server, another one many",
-        })
-    }
-}
-
 /// The sources of the list, and what has been heard of them.
 pub struct Sources {
     places: Vec<SocketAddr>,
--- a/crates/simwire/src/lib.rs
+++ b/crates/simwire/src/lib.rs
@@ -4,12 +4,13 @@
 
 mod wire;
 
-use granitelead_decisions::settings::{Fields, Names};
+use granitelead_decisions::settings::{Fault, FieldError, Fields, Names};
 use granitelead_decisions::{Action, Event, Gatekeeper};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
+use thiserror::Error;
 use wire::Input;
 
 /// Runs the adapter over standard input and output, to its end.
@@ -23,6 +24,21 @@
     }
 }
 
+/// Why a conversation ends before its input does.
+#[derive(Debug, Error)]
+enum Broken {
+    #[error(transparent)]
+    Field(#[from] FieldError),
+    #[error("line {line}: {error}")]
+    Input { line: u64, error: io::Error },
+    #[error("line {0}: input ends inside a batch")]
+    EndsInBatch(u64),
+    #[error("input ends inside a list")]
+    EndsInList,
+    #[error("output: {0}")]
+    Output(io::Error),
+}
+
 /// Numbers the lines as they are read, for error messages.
 struct Lines<R> {
     input: R,
@@ -30,10 +46,11 @@
 }
 
 impl<R: BufRead> Lines<R> {
-    fn next(&mut self) -> Result<Option<String>, String> {
+    fn next(&mut self) -> Result<Option<String>, Broken> {
         self.number += 1;
         let mut line = String::new();
-        let read = self.input.read_line(&mut line).map_err(|e| format!("line {}: {e}", self.number))?;
+        let read =
+            self.input.read_line(&mut line).map_err(|error| Broken::Input { line: self.number, error })?;
         while line.ends_with(['\n', '\r']) {
             line.pop();
         }
@@ -41,7 +58,7 @@
     }
 }
 
-fn converse(input: impl BufRead, mut output: impl Write) -> Result<(), String> {
+fn converse(input: impl BufRead, mut output: impl Write) -> Result<(), Broken> {
     let mut lines = Lines { input, number: 0 };
     let mut hosted: BTreeMap<u32, (Gatekeeper, Names)> = BTreeMap::new();
     while let Some(head) = lines.next()? {
@@ -50,12 +67,12 @@
         }
         let head = Fields::parse(&head, lines.number)?;
         if head.name != "MARK" {
-            return Err(head.error("name", "MARK expected"));
+            return Err(head.error("name", Fault::Expected("MARK")).into());
         }
         let (now, turn) = (head.int("nowUs")?, head.int("turn")?);
         let mut reply = String::new();
         loop {
-            let line = lines.next()?.ok_or(format!("line {}: input ends inside a batch", lines.number))?;
+            let line = lines.next()?.ok_or(Broken::EndsInBatch(lines.number))?;
             if line == "GO" {
                 break;
             }
@@ -74,7 +91,7 @@
                 Input::Servers { scope, rows } => {
                     let mut servers = Vec::new();
                     for _ in 0..rows {
-                        let line = lines.next()?.ok_or("input ends inside a list")?;
+                        let line = lines.next()?.ok_or(Broken::EndsInList)?;
                         servers.push(wire::row(&Fields::parse(&line, lines.number)?)?);
                     }
                     Event::Servers(granitelead_decisions::ServerList { scope, servers })
@@ -82,7 +99,7 @@
                 Input::Event(event) => event,
             };
             let Some((gatekeeper, _)) = hosted.get_mut(&instance) else {
-                return Err(fields.error("gatekeeper", "no such instance"));
+                return Err(fields.error("gatekeeper", Fault::NoInstance).into());
             };
             let mut actions: Vec<Action> = Vec::new();
             // A panic is a defect in the decision code; the wire has a word for that.
@@ -92,10 +109,7 @@
             }
         }
         reply.push_str(&format!("DONE\tturn={turn}\n"));
-        output
-            .write_all(reply.as_bytes())
-            .and_then(|()| output.flush())
-            .map_err(|e| format!("output: {e}"))?;
+        output.write_all(reply.as_bytes()).and_then(|()| output.flush()).map_err(Broken::Output)?;
     }
     Ok(())
 }
--- a/crates/simwire/src/wire.rs
+++ b/crates/simwire/src/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's words: parsing of events and settings, printing of actions. No decisions.
 
-use granitelead_decisions::settings::{settings, Fields, Names};
+use granitelead_decisions::settings::{settings, Fault, FieldError, Fields, Names};
 use granitelead_decisions::*;
 use std::fmt::Write;
 
@@ -24,11 +24,11 @@
     ("NOP", Outcome::NotSent),
 ];
 
-fn ticket(f: &Fields) -> Result<RequestId, String> {
+fn ticket(f: &Fields) -> Result<RequestId, FieldError> {
     f.text("ticket").map(|id| RequestId(id.into()))
 }
 
-pub fn input(f: &Fields, names: Option<&Names>) -> Result<Input, String> {
+pub fn input(f: &Fields, names: Option<&Names>) -> Result<Input, FieldError> {
     if f.name == "LAUNCH" {
         let (settings, names) = settings(f)?;
         return Ok(Input::Launch {
@@ -40,7 +40,7 @@
     if f.name == "TEARDOWN" {
         return Ok(Input::Teardown);
     }
-    let Some(names) = names else { return Err(f.error("gatekeeper", "no such instance")) };
+    let Some(names) = names else { return Err(f.error("gatekeeper", Fault::NoInstance)) };
     let event = match f.name {
         "FLEET" => {
             use ListScope::*;
@@ -56,8 +56,10 @@
                 plan: place(&names.plans, f.text("contract")?).map(PlanId),
                 units: f.float("quotaUnits")?,
                 gatekeepers: f.number("width")?,
-                time_left: f.optional::<i64>("graceUs")?.ok_or_else(|| f.error("graceUs", "missing"))?.max(0)
-                    as u64,
+                time_left: f
+                    .optional::<i64>("graceUs")?
+                    .ok_or_else(|| f.error("graceUs", Fault::Missing))?
+                    .max(0) as u64,
                 whole: true,
             })
         }
@@ -81,7 +83,7 @@
                 "GOOD" => CounterOutcome::Total(f.float("reading")?),
                 "FULL" | "NOCONN" => CounterOutcome::Refused,
                 "LATE" => CounterOutcome::Timeout,
-                other => return Err(f.error("status", &format!("`{other}` is not a known word"))),
+                other => return Err(f.error("status", Fault::UnknownWord(other.to_owned()))),
             };
             Event::Counter { name: CounterName(f.text("counter")?.into()), outcome }
         }
@@ -93,14 +95,14 @@
             f.int("by")?;
             return Ok(Input::Nothing);
         }
-        other => return Err(f.error("name", &format!("`{other}` is not a known event"))),
+        other => return Err(f.error("name", Fault::UnknownEvent(other.to_owned()))),
     };
     Ok(Input::Event(event))
 }
 
-pub fn row(f: &Fields) -> Result<ServerInfo, String> {
+pub fn row(f: &Fields) -> Result<ServerInfo, FieldError> {
     if f.name != "ROW" {
-        return Err(f.error("name", "ROW expected"));
+        return Err(f.error("name", Fault::Expected("ROW")));
     }
     use Availability::*;
     Ok(ServerInfo {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -120,7 +120,24 @@
 #[test]
 fn an_upgrade_takes_over_quotas_and_connections_and_the_old_process_leaves() {
     let server = Server::start(ok("served"));
-    let (mut old, discovery) = stage(&server);
+    let (old, discovery) = stage(&server);
+    takes_over(old, &discovery);
+}
+
+/// Plays an upgrade from another program, such as an earlier version: `GATEKEEPER=/path/to/it cargo test --test
+/// operations -- --ignored`.
+#[test]
+#[ignore]
+fn an_upgrade_from_another_program_takes_over_as_well() {
+    let (server, discovery) = (Server::start(ok("served")), Discovery::start());
+    discovery.list(2, true, &[server.listed("w0", "up")]);
+    let before = std::process::Command::new(std::env::var("GATEKEEPER").expect("the variable GATEKEEPER"));
+    let old = Gatekeeper::start_by(before, folder(), &config_with_door(discovery.addr)).until_ready();
+    takes_over(old, &discovery);
+}
+
+/// A gatekeeper that knows of one server gets a successor.
+fn takes_over(mut old: Gatekeeper, discovery: &Discovery) {
     let many = Ask { tier: "small", terms: "units=20,spread=1,first=0".into(), ..swap() };
     let mut kept = old.connect();
     assert_eq!(kept.ask(&many.text()).status(), 200);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -400,6 +400,11 @@
         let mut command = Command::new("/bin/sh");
         let limited = format!("ulimit -n {descriptors}; exec \"$0\"");
         command.args(["-c", &limited, env!("CARGO_BIN_EXE_granitelead")]);
+        Gatekeeper::start_by(command, folder, config)
+    }
+
+    /// One that another command runs, the program's name its last word.
+    pub fn start_by(command: Command, folder: Arc<Folder>, config: &Value) -> Gatekeeper {
         let child = spawn_by(command, &config.to_string(), &folder);
         Gatekeeper::of(child, folder, config)
     }
