--- a/src/net/mod.rs
+++ b/crates/base/src/lib.rs
@@ -1,45 +1,41 @@
-//! The gateway on real sockets: carries events to the one [`crate::Gatekeeper`] and its actions out.
-
-pub mod admin;
-pub mod body;
-pub mod by_hand;
-pub mod clients;
-pub mod config;
-pub mod counter;
-pub mod dials;
-pub mod discovery;
-pub mod driver;
-pub mod framing;
-pub mod handover;
-pub mod listing;
-pub mod server;
-pub mod sources;
-pub mod telemetry;
-pub mod times;
-pub mod turns;
-pub mod watch;
+//! What every program of the project stands on: its start, its log, waits between tries, connections to
+//! others.
+
 pub mod wire;
-pub mod workers;
 
 use std::future::Future;
 use std::process::ExitCode;
-use tokio::task::{spawn_local, LocalSet};
+use thiserror::Error;
+use tokio::task::{spawn_local, JoinError, LocalSet};
 use tokio::time::Duration;
 
-/// The longest body of a request, in bytes: longer than anything that is sent in a client's time.
-pub const BODY_MAX: u64 = 1 << 30;
-
 /// Pause where the system has no descriptor left for a new connection.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Runs a program of one thread to its end: what `load` gives is served.
-pub fn run<T, F>(
+/// Why a program ends with a failure.
+#[derive(Debug, Error)]
+enum Failure<L, S> {
+    #[error(transparent)]
+    Load(L),
+    #[error("no runtime: {0}")]
+    Runtime(std::io::Error),
+    #[error("its task: {0}")]
+    Task(JoinError),
+    #[error(transparent)]
+    Serve(S),
+}
+
+/// Runs a program of one thread to its end: what `load` gives is served. A failure is one line on standard error,
+/// and exit status 1.
+pub fn run<T, L, S, F>(
     program: &str,
-    load: impl FnOnce() -> Result<T, String>,
+    load: impl FnOnce() -> Result<T, L>,
     serve: impl FnOnce(T) -> F,
 ) -> ExitCode
 where
-    F: Future<Output = Result<(), String>> + 'static,
+    L: std::error::Error + 'static,
+    S: std::error::Error + 'static,
+    F: Future<Output = Result<(), S>> + 'static,
 {
     // Requests would wait for ever behind a port that still accepts: better to end and be started again.
     let report = std::panic::take_hook();
@@ -47,29 +43,29 @@
         report(panic);
         std::process::exit(101);
     }));
-    let run = || -> Result<(), String> {
-        let loaded = load()?;
+    let run = || -> Result<(), Failure<L, S>> {
+        let loaded = load().map_err(Failure::Load)?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+        let runtime = runtime.map_err(Failure::Runtime)?;
         // As a task of its own: what `block_on` is given itself is polled at every turn of the loop.
         let served = async { spawn_local(serve(loaded)).await };
-        LocalSet::new().block_on(&runtime, served).map_err(|e| e.to_string())?
+        LocalSet::new().block_on(&runtime, served).map_err(Failure::Task)?.map_err(Failure::Serve)
     };
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("{program}: {message}");
+        Err(failure) => {
+            eprintln!("{program}: {failure}");
             ExitCode::FAILURE
         }
     }
 }
 
-/// Has the system end a connection whose peer acknowledges nothing for so long. Where it does not, that is said
-/// once, and time limits of our own hold.
+/// Has the system end a connection whose peer acknowledges nothing for so long. Where it does not, that is
+/// said once, and time limits of our own hold.
 pub fn set_user_timeout(stream: &tokio::net::TcpStream, time: Duration, refused: &std::cell::Cell<u64>) {
     if let Err(e) = rustix::net::sockopt::set_tcp_user_timeout(stream, time.as_millis() as u32) {
         if refused.replace(1) == 0 {
-            eprintln!("hingestage: no limit on data that is not acknowledged: {e}");
+            eprintln!("granitelead: no limit on data that is not acknowledged: {e}");
         }
     }
 }
@@ -78,7 +74,7 @@
 pub fn note(count: &std::cell::Cell<u64>, what: impl std::fmt::Display) {
     count.set(count.get() + 1);
     if count.get().is_power_of_two() {
-        eprintln!("hingestage: {what} (time {})", count.get());
+        eprintln!("granitelead: {what} (time {})", count.get());
     }
 }
 
@@ -88,8 +84,8 @@
     text.parse().ok().filter(|n: &f64| plain && *n > 0.0)
 }
 
-/// Waits between tries at a peer that may be down: doubling up to a longest, so that it is neither flooded nor
-/// missed, and drawn at random, so that gateways that lost it together do not come back together.
+/// Waits between tries at a peer that may be down: doubling up to a longest, so that it is neither flooded
+/// nor missed, and drawn at random, so that gatekeepers that lost it together do not come back together.
 pub struct Backoff {
     first: Duration,
     longest: Duration,
@@ -100,7 +96,7 @@
 impl Backoff {
     const FIRST: Duration = Duration::from_millis(50);
     const LONGEST: Duration = Duration::from_secs(1);
-    /// What a gateway adds to the mean waits of all at a peer that they share.
+    /// What a gatekeeper adds to the mean waits of all at a peer that they share.
     const EACH: (Duration, Duration) = (Duration::from_millis(25), Duration::from_millis(100));
 
     /// For a peer that takes a try without much work; `seed` draws.
@@ -108,12 +104,12 @@
         Backoff::shared(1, Duration::MAX, seed)
     }
 
-    /// For a peer of which each try takes work that it does for so many gateways: their tries stay about as
-    /// many in a second, however many they are, as long as the first comes within half of `within` and each
-    /// further one within twice that.
-    pub fn shared(gateways: u32, within: Duration, seed: u64) -> Self {
-        let first = Self::FIRST.max((Self::EACH.0 * gateways).min(within / 4));
-        let longest = Self::LONGEST.max((Self::EACH.1 * gateways).min(within));
+    /// For a peer of which each try takes work that it does for so many gatekeepers: their tries stay about
+    /// as many in a second, however many they are, as long as the first comes within half of `within` and
+    /// each further one within twice that.
+    pub fn shared(gatekeepers: u32, within: Duration, seed: u64) -> Self {
+        let first = Self::FIRST.max((Self::EACH.0 * gatekeepers).min(within / 4));
+        let longest = Self::LONGEST.max((Self::EACH.1 * gatekeepers).min(within));
         Backoff { first, longest, next: first, rng: fastrand::Rng::with_seed(seed) }
     }
 
@@ -141,11 +137,11 @@
 
     const WITHIN: Duration = Duration::from_secs(10);
 
-    /// Tries in each second of a minute, of gateways that lose a peer together and never reach it.
-    fn tries(gateways: u32) -> Vec<usize> {
+    /// Tries in each second of a minute, of gatekeepers that lose a peer together and never reach it.
+    fn tries(gatekeepers: u32) -> Vec<usize> {
         let mut by_second = vec![0; 60];
-        for gateway in 0..gateways {
-            let mut backoff = Backoff::shared(gateways, WITHIN, u64::from(gateway));
+        for gatekeeper in 0..gatekeepers {
+            let mut backoff = Backoff::shared(gatekeepers, WITHIN, u64::from(gatekeeper));
             let mut at = backoff.draw();
             while at < Duration::from_secs(60) {
                 by_second[at.as_secs() as usize] += 1;
@@ -156,7 +152,7 @@
     }
 
     #[test]
-    fn many_gateways_do_not_flood_what_they_share() {
+    fn many_gatekeepers_do_not_flood_what_they_share() {
         let many = tries(100);
         assert!(many.iter().all(|n| *n <= 40), "{many:?}");
         assert!(many[10..].iter().sum::<usize>() <= 50 * 15, "{many:?}");
@@ -166,12 +162,12 @@
     }
 
     #[test]
-    fn however_many_gateways_each_asks_within_the_time_that_the_rules_leave() {
-        for gateways in [1, 100, 300, 10_000] {
+    fn however_many_gatekeepers_each_asks_within_the_time_that_the_rules_leave() {
+        for gatekeepers in [1, 100, 300, 10_000] {
             for seed in 0..300 {
-                let mut backoff = Backoff::shared(gateways, WITHIN, seed);
-                assert!(backoff.draw() <= WITHIN / 2, "{gateways}");
-                assert!((0..20).all(|_| backoff.draw() <= 2 * WITHIN), "{gateways}");
+                let mut backoff = Backoff::shared(gatekeepers, WITHIN, seed);
+                assert!(backoff.draw() <= WITHIN / 2, "{gatekeepers}");
+                assert!((0..20).all(|_| backoff.draw() <= 2 * WITHIN), "{gatekeepers}");
             }
         }
     }
--- a/src/bin/hingestage-discovery/main.rs
+++ b/crates/list-service/src/lib.rs
@@ -1,5 +1,4 @@
 //! The list service: resale servers register in it, gatekeepers watch it. Or a mirror of one.
-#![forbid(unsafe_code)]
 
 mod board;
 mod doors;
@@ -9,26 +8,27 @@
 mod store;
 
 use board::Position;
-use hingestage::net::listing::HostList;
-use hingestage::net::run;
-use hingestage::net::sources::Sources;
-use hingestage::net::watch::{Follower, Listing, Pace};
+use granitelead_list::follower::{Follower, Listing, Pace};
+use granitelead_list::forms::HostList;
+use granitelead_list::sources::Sources;
 use http::Front;
 use lexopt::{Arg, Parser, ValueExt};
 use registry::Registry;
 use service::{unix_ms, Service};
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use store::{Store, LOG_MAX};
+use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
-const USAGE: &str = "usage: hingestage-discovery --listen ADDRESS (--data FOLDER | --mirror-of ADDRESS)
+const USAGE: &str = "usage: granitelead-discovery --listen ADDRESS (--data FOLDER | --mirror-of ADDRESS)
     [--settle-ms N] [--guard-ms N] [--connections N] [--new]";
 /// Time for servers to register anew where the list was lost.
 const SETTLE_MS: u64 = 10_000;
@@ -54,6 +54,40 @@
     new: bool,
 }
 
+/// What is wrong with the command line.
+#[derive(Debug, Error)]
+enum OptionError {
+    #[error("{0}")]
+    Words(#[from] lexopt::Error),
+    #[error("`{0}` is not asked for")]
+    NotAskedFor(String),
+    #[error("{name}: {error}")]
+    Value { name: String, error: lexopt::Error },
+    #[error("{0}: no such option")]
+    Unknown(String),
+    #[error("one of --data and --mirror-of has to be given")]
+    NoSource,
+    #[error("--listen is missing")]
+    NoListen,
+    #[error("--settle-ms, --guard-ms: at most {0}")]
+    SpanTooLong(u64),
+    #[error("--connections: from {0} to {1}")]
+    Connections(usize, usize),
+}
+
+/// Why the service ends with a failure.
+#[derive(Debug, Error)]
+enum ServeError {
+    #[error("no signals: {0}")]
+    Signals(io::Error),
+    #[error("--data {folder}: {error}")]
+    Folder { folder: String, error: io::Error },
+    #[error("--listen {at}: {error}")]
+    Listen { at: SocketAddr, error: io::Error },
+    #[error("the disk's task: {0}")]
+    Disk(#[from] tokio::task::JoinError),
+}
+
 enum From {
     Folder(PathBuf),
     Other(SocketAddr),
@@ -61,17 +95,19 @@
 
 impl Options {
     /// Reads the command line; none where only help is asked for.
-    fn read(mut words: Parser) -> Result<Option<Options>, String> {
+    fn read(mut words: Parser) -> Result<Option<Options>, OptionError> {
         let (mut listen, mut folder, mut mirror_of, mut new) = (None, None, None, false);
         let (mut settle_ms, mut guard_ms, mut connections) = (SETTLE_MS, GUARD_MS, CONNECTIONS);
-        while let Some(word) = words.next().map_err(|e| e.to_string())? {
+        while let Some(word) = words.next()? {
             let name = match &word {
                 Arg::Long(name) => format!("--{name}"),
                 Arg::Short(name) => format!("-{name}"),
-                Arg::Value(value) => return Err(format!("`{}` is not asked for", value.to_string_lossy())),
+                Arg::Value(value) => {
+                    return Err(OptionError::NotAskedFor(value.to_string_lossy().into_owned()))
+                }
             };
-            let mut value = || words.value().map_err(|e| e.to_string());
-            let bad = |e: lexopt::Error| format!("{name}: {e}");
+            let mut value = || words.value();
+            let bad = |error| OptionError::Value { name: name.clone(), error };
             match name.as_str() {
                 "--listen" => listen = Some(value()?.parse().map_err(bad)?),
                 "--data" => folder = Some(PathBuf::from(value()?)),
@@ -81,58 +117,56 @@
                 "--connections" => connections = value()?.parse().map_err(bad)?,
                 "--new" => new = true,
                 "--help" | "-h" => return Ok(None),
-                _ => return Err(format!("{name}: no such option")),
+                _ => return Err(OptionError::Unknown(name)),
             }
         }
         let from = match (folder, mirror_of) {
             (Some(folder), None) => From::Folder(folder),
             (None, Some(at)) => From::Other(at),
-            _ => return Err("one of --data and --mirror-of has to be given".into()),
+            _ => return Err(OptionError::NoSource),
         };
-        let listen = listen.ok_or("--listen is missing")?;
+        let listen = listen.ok_or(OptionError::NoListen)?;
         if settle_ms > SPAN_MAX_MS || guard_ms > SPAN_MAX_MS {
-            return Err(format!("--settle-ms, --guard-ms: at most {SPAN_MAX_MS}"));
+            return Err(OptionError::SpanTooLong(SPAN_MAX_MS));
         }
         let (least, most) = CONNECTIONS_RANGE;
         if !(least..=most).contains(&connections) {
-            return Err(format!("--connections: from {least} to {most}"));
+            return Err(OptionError::Connections(least, most));
         }
         let settle = Duration::from_millis(if new { 0 } else { settle_ms });
         Ok(Some(Options { listen, from, settle, guard_ms, connections, new }))
     }
 }
 
-fn main() -> ExitCode {
-    run("hingestage-discovery", || Options::read(Parser::from_env()), serve)
+/// Runs the list service to its end, as its command line says.
+pub fn run() -> ExitCode {
+    granitelead_base::run("granitelead-discovery", || Options::read(Parser::from_env()), serve)
 }
 
-async fn serve(options: Option<Options>) -> Result<(), String> {
+async fn serve(options: Option<Options>) -> Result<(), ServeError> {
     let Some(options) = options else {
         println!("{USAGE}");
         return Ok(());
     };
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-    let opened = match &options.from {
+    let mut term = signal(SignalKind::terminate()).map_err(ServeError::Signals)?;
+    let (service, store) = match &options.from {
         From::Folder(folder) => {
-            Some(open(folder, &options).map_err(|e| format!("--data {}: {e}", folder.display()))?)
+            let bad = |error| ServeError::Folder { folder: folder.display().to_string(), error };
+            let (service, store) = open(folder, &options).map_err(bad)?;
+            (service, Some(store))
         }
-        From::Other(_) => None,
-    };
-    let listener = TcpListener::bind(options.listen).await;
-    let listener = listener.map_err(|e| format!("--listen {}: {e}", options.listen))?;
-    let bound = listener.local_addr().map_err(|e| format!("--listen: {e}"))?;
-    let (service, store) = match (opened, &options.from) {
-        (Some((service, store)), _) => (service, Some(store)),
-        (None, From::Other(at)) => (mirror(*at), None),
-        (None, From::Folder(_)) => return Err("no folder".into()),
+        From::Other(at) => (mirror(*at), None),
     };
+    let bad = |error| ServeError::Listen { at: options.listen, error };
+    let listener = TcpListener::bind(options.listen).await.map_err(bad)?;
+    let bound = listener.local_addr().map_err(bad)?;
     let front = Front::new(service.clone(), options.connections);
     spawn_local(service.clone().look_after_leases());
     spawn_local(front.accept(listener));
-    eprintln!("hingestage-discovery: listening on {bound}");
+    eprintln!("granitelead-discovery: listening on {bound}");
     let kept = async {
         match store {
-            Some(store) => service.keep_changes(store).await,
+            Some(store) => Ok(service.keep_changes(store).await?),
             None => std::future::pending().await,
         }
     };
@@ -154,12 +188,12 @@
             let epoch = now.max(kept.epoch.map_or(0, |epoch| epoch + 1));
             (kept.rev, kept.lease) = (now.max(kept.rev + 1), now.max(kept.lease + 1));
             if let Some(what) = kept.damage.take() {
-                eprintln!("hingestage-discovery: {what}; {} leases kept", kept.leases.len());
+                eprintln!("granitelead-discovery: {what}; {} leases kept", kept.leases.len());
             }
             if !options.new {
                 settle = options.settle;
                 let ms = settle.as_millis();
-                eprintln!("hingestage-discovery: a new list begins; it is told in {ms} ms");
+                eprintln!("granitelead-discovery: a new list begins; it is told in {ms} ms");
             }
             epoch
         }
@@ -167,7 +201,7 @@
     let leases: Vec<_> = kept.leases.values().cloned().collect();
     let at = Position { epoch, rev: kept.rev };
     let registry = Registry::new((kept.rev, kept.lease), leases.iter().cloned(), options.guard_ms, 0);
-    eprintln!("hingestage-discovery: epoch {epoch}, rev {}, {} leases", kept.rev, leases.len());
+    eprintln!("granitelead-discovery: epoch {epoch}, rev {}, {} leases", kept.rev, leases.len());
     let store = Store::begin(folder, lock, kept, epoch, LOG_MAX)?;
     Ok((Service::writer(registry, at, &leases, settle), store))
 }
--- a/src/bin/hingestage-discovery/service.rs
+++ b/crates/list-service/src/service.rs
@@ -1,19 +1,21 @@
-//! The service's heart: calls change the registry, changes go to the disk, and what is there goes to the board.
+//! The service's heart: calls change the registry, changes go to the disk, and what is there goes to the
+//! board.
 
 use crate::board::{Board, Position, RING};
 use crate::registry::{Noted, Record, Refusal, Registry};
 use crate::store::Store;
 use bytes::Bytes;
-use hingestage::net::listing::{HostList, Leased, OnLease, Register, Revision};
-use hingestage::net::note;
-use hingestage::net::watch::Listing;
-use hingestage::ListScope;
+use granitelead_base::note;
+use granitelead_decisions::ListScope;
+use granitelead_list::follower::Listing;
+use granitelead_list::forms::{HostList, Leased, OnLease, Register, Revision};
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{watch, Notify};
+use tokio::task::JoinError;
 use tokio::time::{timeout, Duration, Instant};
 
 /// Changes that wait for the disk, at most.
@@ -183,7 +185,7 @@
     }
 
     /// Brings changes to the disk and then to the board, for ever: all that wait at once.
-    pub async fn keep_changes(self: Rc<Self>, mut store: Store) -> Result<(), String> {
+    pub async fn keep_changes(self: Rc<Self>, mut store: Store) -> Result<(), JoinError> {
         loop {
             let batch = Arc::new(self.pending.take());
             if batch.is_empty() {
@@ -196,7 +198,7 @@
                     let wrote = store.append(&records);
                     (store, wrote)
                 });
-                let (back, wrote) = wrote.await.map_err(|e| format!("the disk's task: {e}"))?;
+                let (back, wrote) = wrote.await?;
                 store = back;
                 self.failing.set(wrote.is_err());
                 let Err(e) = wrote else { break };
@@ -218,7 +220,7 @@
             tokio::time::sleep(LOOK).await;
             let (records, noted) = registry.borrow_mut().look(self.now());
             for record in &records {
-                eprintln!("hingestage-discovery: {} has lapsed", record.target.uid);
+                eprintln!("granitelead-discovery: {} has lapsed", record.target.uid);
             }
             if !records.is_empty() {
                 self.pend(records);
@@ -227,20 +229,20 @@
                 None => {}
                 Some(Noted::Paused(ms)) => {
                     eprintln!(
-                        "hingestage-discovery: stood still for {ms} ms; all leases have their time again"
+                        "granitelead-discovery: stood still for {ms} ms; all leases have their time again"
                     );
                 }
                 Some(Noted::Guarded(n, all)) => {
                     eprintln!(
-                        "hingestage-discovery: guarded: {n} of {all} leases overdue; the servers stay listed"
+                        "granitelead-discovery: guarded: {n} of {all} leases overdue; the servers stay listed"
                     );
                 }
                 Some(Noted::SeesAgain) => {
-                    eprintln!("hingestage-discovery: no more guarded: renewals come again")
+                    eprintln!("granitelead-discovery: no more guarded: renewals come again")
                 }
                 Some(Noted::GaveUp(n)) => {
                     eprintln!(
-                        "hingestage-discovery: no more guarded: {n} servers silent for too long are gone"
+                        "granitelead-discovery: no more guarded: {n} servers silent for too long are gone"
                     );
                 }
             }
--- a/src/bin/hingestage-discovery/store.rs
+++ b/crates/list-service/src/store.rs
@@ -1,4 +1,5 @@
-//! What outlives the process: a snapshot of the leases and a log of what changed since, lines with a checksum each.
+//! What outlives the process: a snapshot of the leases and a log of what changed since, lines with a checksum
+//! each.
 
 use crate::registry::{Record, LEASES_MAX};
 use rustix::fs::{flock, FlockOperation};
@@ -214,7 +215,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use hingestage::net::listing::Target;
+    use granitelead_list::forms::Target;
 
     /// A folder of its own, gone with the test.
     struct Folder(PathBuf);
--- a/src/bin/hingestage-adapter/wire.rs
+++ b/crates/simwire/src/wire.rs
@@ -1,14 +1,14 @@
 //! The wire's words: parsing of events and settings, printing of actions. No decisions.
 
-use hingestage::settings::{settings, Fields, Names};
-use hingestage::*;
+use granitelead_decisions::settings::{settings, Fault, FieldError, Fields, Names};
+use granitelead_decisions::*;
 use std::fmt::Write;
 
 /// What one line asks of the host.
 pub enum Input {
     Launch { settings: Box<Settings>, seed: u64, names: Box<Names> },
     Teardown,
-    Workers { scope: ListScope, rows: usize },
+    Servers { scope: ListScope, rows: usize },
     Event(Event),
     Nothing,
 }
@@ -24,11 +24,11 @@
     ("NOP", Outcome::NotSent),
 ];
 
-fn ticket(f: &Fields) -> Result<RequestId, String> {
+fn ticket(f: &Fields) -> Result<RequestId, FieldError> {
     f.text("ticket").map(|id| RequestId(id.into()))
 }
 
-pub fn input(f: &Fields, names: Option<&Names>) -> Result<Input, String> {
+pub fn input(f: &Fields, names: Option<&Names>) -> Result<Input, FieldError> {
     if f.name == "LAUNCH" {
         let (settings, names) = settings(f)?;
         return Ok(Input::Launch {
@@ -40,12 +40,12 @@
     if f.name == "TEARDOWN" {
         return Ok(Input::Teardown);
     }
-    let Some(names) = names else { return Err(f.error("gatekeeper", "no such instance")) };
+    let Some(names) = names else { return Err(f.error("gatekeeper", Fault::NoInstance)) };
     let event = match f.name {
         "FLEET" => {
             use ListScope::*;
             let scope = f.choice("scope", &[("0", Failed), ("1", Full), ("2", Delta), ("3", Cached)])?;
-            return Ok(Input::Workers { scope, rows: f.optional("items")?.unwrap_or(0) });
+            return Ok(Input::Servers { scope, rows: f.optional("items")?.unwrap_or(0) });
         }
         "DEMAND" => {
             let place = |names: &[String], value: &str| names.iter().position(|name| name == value);
@@ -55,9 +55,11 @@
                 class: place(&names.classes, f.text("type")?).map(ClassId),
                 plan: place(&names.plans, f.text("contract")?).map(PlanId),
                 units: f.float("quotaUnits")?,
-                gateways: f.number("width")?,
-                time_left: f.optional::<i64>("graceUs")?.ok_or_else(|| f.error("graceUs", "missing"))?.max(0)
-                    as u64,
+                gatekeepers: f.number("width")?,
+                time_left: f
+                    .optional::<i64>("graceUs")?
+                    .ok_or_else(|| f.error("graceUs", Fault::Missing))?
+                    .max(0) as u64,
                 whole: true,
             })
         }
@@ -81,7 +83,7 @@
                 "GOOD" => CounterOutcome::Total(f.float("reading")?),
                 "FULL" | "NOCONN" => CounterOutcome::Refused,
                 "LATE" => CounterOutcome::Timeout,
-                other => return Err(f.error("status", &format!("`{other}` is not a known word"))),
+                other => return Err(f.error("status", Fault::UnknownWord(other.to_owned()))),
             };
             Event::Counter { name: CounterName(f.text("counter")?.into()), outcome }
         }
@@ -93,18 +95,18 @@
             f.int("by")?;
             return Ok(Input::Nothing);
         }
-        other => return Err(f.error("name", &format!("`{other}` is not a known event"))),
+        other => return Err(f.error("name", Fault::UnknownEvent(other.to_owned()))),
     };
     Ok(Input::Event(event))
 }
 
-pub fn row(f: &Fields) -> Result<WorkerInfo, String> {
+pub fn row(f: &Fields) -> Result<ServerInfo, FieldError> {
     if f.name != "ROW" {
-        return Err(f.error("name", "ROW expected"));
+        return Err(f.error("name", Fault::Expected("ROW")));
     }
     use Availability::*;
-    Ok(WorkerInfo {
-        id: WorkerId(f.int("worker")?),
+    Ok(ServerInfo {
+        id: ServerId(f.int("worker")?),
         availability: f.choice("availability", &[("0", Gone), ("1", Ready), ("2", Draining)])?,
         zone: Zone(f.text_or_empty("zone").into()),
         cell: f.span_or_zero("block")?,
@@ -117,10 +119,10 @@
 /// Prints one action as a line of the reply.
 pub fn print(reply: &mut String, instance: u32, action: &Action) {
     let line = match action {
-        Action::Send { request, worker, timeout } => {
+        Action::Send { request, server, timeout } => {
             format!(
                 "TRY\tgatekeeper={instance}\tticket={}\ttimeoutUs={timeout}\tworker={}",
-                request.0, worker.0
+                request.0, server.0
             )
         }
         Action::Cancel { request, attempt } => {
