Add the laboratory: the platform in virtual time, with oracle, experiments, reports

Need: what a change is worth at scale could not be told, as no tool made the situation that it was built for.

Change: `granitelead-lab` plays the real decision module of each gatekeeper against models of servers, clients, counter, discovery and network, in virtual time, from experiments in TOML.

--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! The product's own laboratory: it plays the platform around the gatekeepers as its published pages describe it, to
+//! try a version before it meets the real one. For trials only: no part of it runs beside a gatekeeper in service.
+
+pub mod compare;
+pub mod experiment;
+pub mod model;
+pub mod oracle;
+pub mod queue;
+pub mod report;
+pub mod results;
+pub mod world;
