--- a/crates/decisions/tests/five_rules.rs
+++ b/crates/decisions/tests/five_rules.rs
@@ -176,7 +176,7 @@
 fn random_walk(seed: u64) -> Vec<Action> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut figures = settings();
-    figures.limits.second_copies = seed % 2 == 0;
+    figures.limits.second_copies = seed.is_multiple_of(2);
     let mut s = Stage::new(figures.clone(), &[1, 2, 3]);
     let mut totals = BTreeMap::new();
     let mut ready: BTreeMap<u64, bool> = (1..=5).map(|id| (id, id <= 3)).collect();
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -61,7 +61,7 @@
                 s.list(ListScope::Delta, vec![ServerInfo { started: Some(s.now), ..server(cold_id) }]);
             }
             let before = s.sends.len();
-            if (step + n as u64) % 25 == 0 {
+            if (step + n as u64).is_multiple_of(25) {
                 s.ask(&format!("c{n}-{step}"), 0, 0, 0.1);
             }
             s.pass(20 * MS);
@@ -239,7 +239,7 @@
         s.pass(20 * MS);
         let (due, rest) = std::mem::take(&mut s.out).into_iter().partition(|o: &Out| {
             let n = o.request.trim_start_matches("r-").parse::<u64>().unwrap();
-            (n + o.attempt as u64) % 5 != 0
+            !(n + o.attempt as u64).is_multiple_of(5)
         });
         s.out = rest;
         let due: Vec<Out> = due;
