--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -155,6 +155,10 @@
     pub fall_multiple: Positive,
     /// ... over so long, s.
     pub fall_s: Positive,
+    /// Requests in hand for each core from which on a server gets less efficient ...
+    pub thrash_at: Positive,
+    /// ... and by how much of its work, for each further one.
+    pub thrash: Share,
     /// Connections that a server holds, for each core.
     pub connections_per_core: Positive,
     /// Work of a server for a new connection, ms.
@@ -186,6 +190,8 @@
             cold_s: Positive(12.0),
             fall_multiple: Positive(2.0),
             fall_s: Positive(1.5),
+            thrash_at: Positive(5.0),
+            thrash: Share(0.17),
             connections_per_core: Positive(600.0),
             handshake_ms: Positive(1.0),
             error_rate: Share(0.001),
--- a/crates/lab/src/loopback/demo.rs
+++ b/crates/lab/src/loopback/demo.rs
@@ -59,6 +59,8 @@
             cold_for: fleet.cold_s.micros(),
             fall_multiple: fleet.fall_multiple.0,
             fall_after: fleet.fall_s.micros(),
+            thrash_at: fleet.thrash_at.0,
+            thrash: fleet.thrash.0,
             connections: (cores * fleet.connections_per_core.0) as usize,
         };
         let discovery = Discovery::start().await?;
--- a/crates/lab/src/model/server.rs
+++ b/crates/lab/src/model/server.rs
@@ -1,8 +1,8 @@
 //! A resale server: cores that share the work in hand, a queue, a cold start that warms or falls over, keys whose repeats
 //! are dropped, a limit on connections.
 //!
-//! Its work is shared evenly among what is in hand, at most one core for each request. Not modelled: the loss of
-//! efficiency of a server that holds too much.
+//! Its work is shared evenly among what it works on, at most one core for each request. Holding more than it is good for
+//! makes it less efficient.
 
 use granitelead_decisions::Micros;
 use std::collections::{BTreeMap, VecDeque};
@@ -31,6 +31,10 @@
     pub fall_multiple: f64,
     /// ... over this time it falls over, while it is cold.
     pub fall_after: Micros,
+    /// Requests in hand for each core from which on each further one costs ...
+    pub thrash_at: f64,
+    /// ... so much more work for all.
+    pub thrash: f64,
     /// Connections that it holds.
     pub connections: usize,
 }
@@ -98,11 +102,17 @@
         (from + (1.0 - from) * age / self.spec.cold_for.max(1) as f64).min(1.0)
     }
 
-    /// What it can do now, µs of one core each µs.
+    /// What it can do now, µs of one core each µs, when it holds no more than it is good for.
     pub fn capacity(&self, now: Micros) -> f64 {
         self.spec.cores * self.coldness(now) / self.slow
     }
 
+    /// How many times more work everything is, for what it holds.
+    fn burden(&self) -> f64 {
+        let beyond = self.inflight() as f64 / self.spec.cores - self.spec.thrash_at;
+        1.0 + self.spec.thrash * beyond.max(0.0)
+    }
+
     /// Whether one more connection is taken.
     pub fn has_connection(&self) -> bool {
         self.connections < self.spec.connections
@@ -178,7 +188,7 @@
     /// How much of one core each request in hand gets.
     fn pace(&self) -> f64 {
         let one = self.coldness(self.at) / self.slow;
-        (self.capacity(self.at) / self.running.len().max(1) as f64).min(one)
+        (self.capacity(self.at) / self.running.len().max(1) as f64).min(one) / self.burden()
     }
 
     fn least(&self) -> f64 {
@@ -234,6 +244,8 @@
             cold_for: 8 * S,
             fall_multiple: 2.0,
             fall_after: S,
+            thrash_at: 5.0,
+            thrash: 0.0,
             connections: 10,
         }
     }
@@ -256,6 +268,18 @@
 
     const NOTHING: [u64; 0] = [];
 
+    #[test]
+    fn one_that_holds_too_much_does_less() {
+        let time = |held| {
+            let spec = Spec { thrash_at: 2.0, thrash: 0.5, ..spec() };
+            let mut it = ResaleServer::new(spec, None, 0);
+            (0..held).for_each(|id| assert_eq!(it.take(0, id, 1e6), Taken::Yes));
+            it.next().unwrap()
+        };
+        // Two for each core cost nothing, three half as much again of the work of all.
+        assert_eq!((time(4), time(6)), (2 * S, 3 * S));
+    }
+
     #[test]
     fn a_cold_one_warms_or_falls_over() {
         let mut it = ResaleServer::new(spec(), Some(0), 0);
