Run the list service's fleet test beside the others of its program

The suite took 63.5 s of running on 4 cores with the laboratory's tests; two programs of tests waited 14 s and 15 s one after the other. As one program of tests they wait together: 48.9 s. Assertions unchanged.

--- a/tests/discovery_fleet.rs
+++ b/tests/discovery/fleet.rs
@@ -1,11 +1,9 @@
 //! A whole fleet on one list service: 300 of the gatekeeper's own clients, 200 servers.
 
-mod peers;
-
+use crate::peers::list::Service;
 use granitelead_list::follower::{Follower, Listing, Pace};
 use granitelead_list::forms::{HostList, Leased, Register};
 use granitelead_list::sources::Sources;
-use peers::list::Service;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -117,7 +115,7 @@
 fn a_fleet_is_told_at_once_and_comes_back_spread_over_seconds() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async {
-        let folder = peers::folder();
+        let folder = crate::peers::folder();
         let mut service = Service::writer(&folder, &[]);
         let mut caller = Caller::to(service.addr);
         for n in 0..SERVERS {
@@ -164,13 +162,13 @@
     });
 }
 
-/// Measures; too long for each run: `cargo test --release --test discovery_fleet -- --ignored --nocapture`.
+/// Measures; too long for each run: `cargo test --release --test discovery -- --ignored --nocapture`.
 #[test]
 #[ignore]
 fn memory_stays_flat_over_100_000_changes() {
     const CHANGES: u64 = 100_000;
     const CALLERS: u64 = 32;
-    let folder = peers::folder();
+    let folder = crate::peers::folder();
     let service = Service::writer(&folder, &[]);
     let addr = service.addr;
     let mut watchers: Vec<Caller> = (0..20).map(|_| Caller::to(addr)).collect();
--- a/tests/discovery.rs
+++ b/tests/discovery/main.rs
@@ -1,5 +1,7 @@
 //! The list service, its mirror and the gatekeeper on real sockets: servers that come and go, and what fails.
 
+mod fleet;
+#[path = "../peers/mod.rs"]
 mod peers;
 
 use granitelead_list::forms::{HostList, Leased, OnLease, Refused};
