--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -1,6 +1,7 @@
 //! Experiments as files: which fleet, what traffic, what goes wrong when, which variants to compare, with which seeds.
 //! What a file says wrong is refused with its line and field.
 
+use crate::model::server::Spec;
 use granitelead_decisions::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -204,6 +205,25 @@
     }
 }
 
+impl Fleet {
+    /// What its servers are.
+    pub fn spec(&self) -> Spec {
+        let cores = f64::from(self.cores.0);
+        Spec {
+            cores,
+            slots: (cores * self.slots_per_core.0).ceil() as usize,
+            queue: (cores * self.queue_per_core.0).ceil() as usize,
+            cold_from: self.cold_from.0,
+            cold_for: self.cold_s.micros(),
+            fall_multiple: self.fall_multiple.0,
+            fall_after: self.fall_s.micros(),
+            thrash_at: self.thrash_at.0,
+            thrash: self.thrash.0,
+            connections: (cores * self.connections_per_core.0).ceil() as usize,
+        }
+    }
+}
+
 /// Who asks, and how often.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/lab/src/loopback/demo.rs
+++ b/crates/lab/src/loopback/demo.rs
@@ -8,7 +8,6 @@
 use super::server::Server;
 use super::FleetError;
 use crate::experiment::Experiment;
-use crate::model::server::Spec;
 use crate::report::page;
 use crate::results::{Gatherer, Mark, Row, Run, ServerRow};
 use std::fmt::Write;
@@ -50,19 +49,6 @@
 impl Fleet {
     async fn start(experiment: &Experiment, seed: u64) -> Result<Fleet, FleetError> {
         let fleet = &experiment.fleet;
-        let cores = f64::from(fleet.cores.0);
-        let spec = Spec {
-            cores,
-            slots: (cores * fleet.slots_per_core.0) as usize,
-            queue: (cores * fleet.queue_per_core.0) as usize,
-            cold_from: fleet.cold_from.0,
-            cold_for: fleet.cold_s.micros(),
-            fall_multiple: fleet.fall_multiple.0,
-            fall_after: fleet.fall_s.micros(),
-            thrash_at: fleet.thrash_at.0,
-            thrash: fleet.thrash.0,
-            connections: (cores * fleet.connections_per_core.0) as usize,
-        };
         let discovery = Discovery::start().await?;
         let longest = (experiment.counter.timeout_ms.0 * 1e3 * experiment.counter.queue.0) as u64;
         let parts = experiment.counter.parts.0 as usize;
@@ -70,7 +56,7 @@
         let mut servers = Vec::new();
         for n in 0..fleet.servers.0 as usize {
             let zone = fleet.zones[n % fleet.zones.len()].clone();
-            let server = Server::start(format!("s-{}", n + 1), zone, spec.clone()).await?;
+            let server = Server::start(format!("s-{}", n + 1), zone, fleet.spec()).await?;
             discovery.tell(server.listed("up"));
             servers.push(server);
         }
@@ -104,18 +90,7 @@
     let seed = experiment.seeds[0];
     let mut fleet = Fleet::start(experiment, seed).await?;
     let at: Vec<_> = fleet.gatekeepers.iter().map(|gatekeeper| gatekeeper.at).collect();
-    let rows = |names: Vec<&String>| names.into_iter().map(Row::of).collect();
-    let run = Run {
-        experiment: "demo".into(),
-        ask: experiment.ask.clone(),
-        variant: "as it is".into(),
-        seed,
-        all: Row::of("all"),
-        classes: rows(experiment.classes.iter().map(|class| &class.name).collect()),
-        plans: rows(experiment.plans.iter().map(|plan| &plan.name).collect()),
-        zones: rows(experiment.fleet.zones.iter().collect()),
-        ..Run::default()
-    };
+    let run = Run::begin("demo", experiment, &experiment.variants[0].name, seed);
     let seconds = experiment.seconds.0.ceil() as usize;
     until_up(&at).await;
     let clients = Clients::new(experiment.clone(), at, seed, Gatherer::new(0, seconds, run));
--- a/crates/lab/src/results.rs
+++ b/crates/lab/src/results.rs
@@ -1,5 +1,6 @@
 //! What a run has shown: counts, worth, latencies from when a request was due, by second, class, plan, zone and server.
 
+use crate::experiment::Experiment;
 use crate::oracle::{Breach, Rule};
 use granitelead_decisions::Micros;
 use hdrhistogram::Histogram;
@@ -173,6 +174,21 @@
 ];
 
 impl Run {
+    /// One in which nothing has happened yet.
+    pub fn begin(name: &str, experiment: &Experiment, variant: &str, seed: u64) -> Run {
+        Run {
+            experiment: name.to_owned(),
+            ask: experiment.ask.clone(),
+            variant: variant.to_owned(),
+            seed,
+            all: Row::of("all"),
+            classes: experiment.classes.iter().map(|class| Row::of(&class.name)).collect(),
+            plans: experiment.plans.iter().map(|plan| Row::of(&plan.name)).collect(),
+            zones: experiment.fleet.zones.iter().map(Row::of).collect(),
+            ..Run::default()
+        }
+    }
+
     /// The lowest share of any second.
     pub fn worst_second(&self) -> f64 {
         self.seconds.iter().filter(|row| row.offered > 0.0).map(Row::share).fold(1.0, f64::min)
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -221,7 +221,7 @@
             // Its machine was cut off; what was open there is no more.
             self.machines[server].life += 1;
         }
-        let spec = self.spec();
+        let spec = self.experiment.fleet.spec();
         let machine = &mut self.machines[server];
         (machine.vanished, machine.draining, machine.step_at) = (false, false, Micros::MAX);
         let mut process = ResaleServer::new(spec, Some(now), now);
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -11,11 +11,11 @@
 
 use crate::experiment::{Experiment, Variant};
 use crate::model::counter::{Called, CounterService};
-use crate::model::server::{ResaleServer, Spec};
+use crate::model::server::ResaleServer;
 use crate::model::traffic::{effect, Asked, Traffic};
 use crate::oracle::{Answer, Ceiling, Oracle};
 use crate::queue::Queue;
-use crate::results::{Gatherer, Row, Run, ServerRow};
+use crate::results::{Gatherer, Run, ServerRow};
 use granitelead_decisions::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -246,18 +246,7 @@
     experiment.limits = variant.limits.clone().unwrap_or(experiment.limits);
     experiment.counter = variant.counter.clone().unwrap_or(experiment.counter);
     experiment.fleet.gatekeepers = variant.gatekeepers.unwrap_or(experiment.fleet.gatekeepers);
-    let rows = |names: Vec<&String>| names.into_iter().map(Row::of).collect();
-    let run = Run {
-        experiment: name.to_owned(),
-        ask: experiment.ask.clone(),
-        variant: variant.name.clone(),
-        seed,
-        all: Row::of("all"),
-        classes: rows(experiment.classes.iter().map(|class| &class.name).collect()),
-        plans: rows(experiment.plans.iter().map(|plan| &plan.name).collect()),
-        zones: rows(experiment.fleet.zones.iter().collect()),
-        ..Run::default()
-    };
+    let run = Run::begin(name, &experiment, &variant.name, seed);
     World::new(&experiment, seed, make, run).run()
 }
 
@@ -379,28 +368,11 @@
         world
     }
 
-    fn spec(&self) -> Spec {
-        let fleet = &self.experiment.fleet;
-        let cores = f64::from(fleet.cores.0);
-        Spec {
-            cores,
-            slots: (cores * fleet.slots_per_core.0).ceil() as usize,
-            queue: (cores * fleet.queue_per_core.0).ceil() as usize,
-            cold_from: fleet.cold_from.0,
-            cold_for: fleet.cold_s.micros(),
-            fall_multiple: fleet.fall_multiple.0,
-            fall_after: fleet.fall_s.micros(),
-            thrash_at: fleet.thrash_at.0,
-            thrash: fleet.thrash.0,
-            connections: (cores * fleet.connections_per_core.0).ceil() as usize,
-        }
-    }
-
     /// A new server, there since then; long ago where that is none.
     fn adds_machine(&mut self, zone: usize, started: Option<Micros>) -> usize {
         let number = self.machines.len();
         let id = ServerId(number as u64 + 1);
-        let process = Some(ResaleServer::new(self.spec(), started, self.now));
+        let process = Some(ResaleServer::new(self.experiment.fleet.spec(), started, self.now));
         let name = format!("s-{}", id.0);
         let row = ServerRow { name, zone: self.experiment.fleet.zones[zone].clone(), ..ServerRow::default() };
         self.machines.push(Machine {
