--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -49,16 +49,30 @@
     },
 }
 
+/// Why a number can't stand where it does.
+#[derive(Clone, Copy, Debug, PartialEq, Error)]
+pub enum OutOfRange {
+    /// It has to be above 0, and finite.
+    #[error("{0} is not above 0")]
+    NotPositive(f64),
+    /// It has to be a part of a whole.
+    #[error("{0} is not from 0 to 1")]
+    NoShare(f64),
+    /// It has to be a size of a fleet.
+    #[error("{0} is not from 1 to {FLEET_MAX}")]
+    NoCount(u32),
+}
+
 /// A number above 0.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(try_from = "f64")]
 pub struct Positive(pub f64);
 
 impl TryFrom<f64> for Positive {
-    type Error = String;
+    type Error = OutOfRange;
 
-    fn try_from(n: f64) -> Result<Self, String> {
-        (n.is_finite() && n > 0.0).then_some(Positive(n)).ok_or(format!("{n} is not above 0"))
+    fn try_from(n: f64) -> Result<Self, OutOfRange> {
+        (n.is_finite() && n > 0.0).then_some(Positive(n)).ok_or(OutOfRange::NotPositive(n))
     }
 }
 
@@ -75,10 +89,10 @@
 pub struct Share(pub f64);
 
 impl TryFrom<f64> for Share {
-    type Error = String;
+    type Error = OutOfRange;
 
-    fn try_from(n: f64) -> Result<Self, String> {
-        (0.0..=1.0).contains(&n).then_some(Share(n)).ok_or(format!("{n} is not from 0 to 1"))
+    fn try_from(n: f64) -> Result<Self, OutOfRange> {
+        (0.0..=1.0).contains(&n).then_some(Share(n)).ok_or(OutOfRange::NoShare(n))
     }
 }
 
@@ -88,10 +102,10 @@
 pub struct Count(pub u32);
 
 impl TryFrom<u32> for Count {
-    type Error = String;
+    type Error = OutOfRange;
 
-    fn try_from(n: u32) -> Result<Self, String> {
-        (1..=FLEET_MAX).contains(&n).then_some(Count(n)).ok_or(format!("{n} is not from 1 to {FLEET_MAX}"))
+    fn try_from(n: u32) -> Result<Self, OutOfRange> {
+        (1..=FLEET_MAX).contains(&n).then_some(Count(n)).ok_or(OutOfRange::NoCount(n))
     }
 }
 
