Derive the laboratory's gatekeeper configuration from the settings of virtual time

The demo's configuration worked out bursts, ceilings and their slack beside `world::settings`, which says the same for virtual time; a client's way stood as a number in three places, a surge's plan was looked up twice, the counter's time-out was kept twice, and a server's stop was a second name for its death. Each stands once now.

--- a/crates/lab/src/loopback/gatekeeper.rs
+++ b/crates/lab/src/loopback/gatekeeper.rs
@@ -2,6 +2,7 @@
 
 use super::FleetError;
 use crate::experiment::{Effect, Experiment};
+use crate::world::settings;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -45,39 +46,37 @@
     counter: SocketAddr,
     seed: u64,
 ) -> Value {
-    let (fleet, limits) = (&experiment.fleet, &experiment.limits);
-    let micros = |seconds: f64| (seconds * 1e6) as u64;
-    let services = experiment.classes.iter().map(|class| {
-        let effect = match class.effect {
+    let zones = &experiment.fleet.zones;
+    let it = settings(experiment);
+    let services = experiment.classes.iter().zip(&it.classes).map(|(named, class)| {
+        let effect = match named.effect {
             Effect::Idempotent => "idempotent",
             Effect::Deduplicated => "deduplicated",
             Effect::AtMostOnce => "at_most_once",
         };
-        json!({"name": class.name, "aimUs": micros(class.aim_s.0), "giveUpUs": micros(class.deadline_s.0),
-               "effect": effect, "group": "all", "keyTtlUs": micros(class.key_s.0)})
+        json!({"name": named.name, "aimUs": class.aim, "giveUpUs": class.deadline,
+               "effect": effect, "group": "all", "keyTtlUs": class.key_window})
     });
-    let plans = experiment.plans.iter().map(|plan| {
-        let burst = (plan.rate.0 * plan.burst_s.0).max(4.0);
-        let ceiling = plan.ceiling.map_or(0.0, |ceiling| ceiling.0);
-        json!({"name": plan.name, "rate": plan.rate.0, "storeSize": burst, "hardRate": plan.rate.0 * ceiling,
-               "capDepth": burst * ceiling, "ceilingSlack": (0.1 * burst * ceiling).max(4.0),
+    let plans = experiment.plans.iter().zip(&it.plans).map(|(named, plan)| {
+        json!({"name": named.name, "rate": plan.rate, "storeSize": plan.burst, "hardRate": plan.ceiling_rate,
+               "capDepth": plan.ceiling_burst, "ceilingSlack": plan.ceiling_slack,
                "beyondEarns": plan.over_earns, "overCost": plan.over_cost})
     });
     json!({
         "name": format!("n{me}"), "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
-        "counter": experiment.counter.there.then(|| counter.to_string()), "seed": format!("{seed:x}"),
+        "counter": it.counter.then(|| counter.to_string()), "seed": format!("{seed:x}"),
         "limits": {"cores": 1.0, "memory_mb": LIMITS.1, "sockets": LIMITS.0},
         "settings": {
-            "instances": fleet.gatekeepers.0, "me": me, "resolutionUs": 1_000,
-            "zone": fleet.zones[me % fleet.zones.len()], "registryMode": "pushed",
-            "familyInfo": {"mayCount": experiment.counter.there, "mostUnits": 4, "costAfter": true,
-                           "countWaitUs": micros(experiment.counter.timeout_ms.0 / 1e3)},
-            "limits": {"maxAttempts": limits.max_attempts.0, "mayCancel": limits.cancel,
-                       "mayDuplicate": limits.second_copies, "retryAfter": true,
-                       "maxRetryAfterUs": micros(limits.max_retry_after_s.0), "connIdleUs": 30_000_000,
+            "instances": it.instances, "me": me, "resolutionUs": it.resolution, "zone": zones[me % zones.len()],
+            "registryMode": "pushed",
+            "familyInfo": {"mayCount": it.counter, "mostUnits": it.most_units, "costAfter": it.settles,
+                           "countWaitUs": it.counter_timeout},
+            "limits": {"maxAttempts": it.limits.max_attempts, "mayCancel": it.limits.cancel,
+                       "mayDuplicate": it.limits.second_copies, "retryAfter": true,
+                       "maxRetryAfterUs": it.limits.max_retry_after, "connIdleUs": 30_000_000,
                        "connectTimeoutUs": 250_000},
-            "rules": {"coldFrom": fleet.cold_from.0, "coldUs": micros(fleet.cold_s.0),
-                      "fallMultiple": fleet.fall_multiple.0, "tipAfterUs": micros(fleet.fall_s.0)},
+            "rules": {"coldFrom": it.rules.cold_from, "coldUs": it.rules.cold_for,
+                      "fallMultiple": it.rules.fall_multiple, "tipAfterUs": it.rules.fall_after},
             "services": services.collect::<Vec<_>>(),
             "tiersOfService": plans.collect::<Vec<_>>(),
         }
--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -5,7 +5,7 @@
 use crate::results::{End, Over};
 
 /// One way between a client and a gatekeeper, µs.
-const CLIENT_WAY: Micros = 500;
+pub(super) const CLIENT_WAY: Micros = 500;
 /// A connection to a gatekeeper that is no more is refused within this.
 const REFUSED_WITHIN: Micros = 1_000;
 
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -43,6 +43,12 @@
         fault.zone.as_ref().and_then(|zone| zones.iter().position(|known| known == zone)).unwrap_or_default()
     }
 
+    /// Which plan's customers ask how many times as much.
+    fn surge_of(&self, fault: &Fault) -> (usize, f64) {
+        let plan = self.experiment.plans.iter().position(|plan| Some(&plan.name) == fault.plan.as_ref());
+        (plan.unwrap_or_default(), fault.times.0)
+    }
+
     /// Draws a share of the servers that run, rounded up.
     fn draws_servers(&mut self, share: f64) -> Vec<usize> {
         let runs = |server: &usize| {
@@ -112,9 +118,8 @@
                 self.wrong.list_silent_until = self.wrong.list_silent_until.max(self.now + lasts);
             }
             FaultKind::PlanSurge => {
-                let plan =
-                    self.experiment.plans.iter().position(|plan| Some(&plan.name) == fault.plan.as_ref());
-                self.wrong.surges.push((plan.unwrap_or_default(), fault.times.0));
+                let surge = self.surge_of(&fault);
+                self.wrong.surges.push(surge);
             }
             FaultKind::OneOffs => self.wrong.one_offs += share,
         }
@@ -145,9 +150,7 @@
                 self.counter.iter_mut().for_each(|counter| counter.restart(now));
             }
             FaultKind::PlanSurge => {
-                let plan =
-                    self.experiment.plans.iter().position(|plan| Some(&plan.name) == fault.plan.as_ref());
-                let surge = (plan.unwrap_or_default(), fault.times.0);
+                let surge = self.surge_of(&fault);
                 if let Some(at) = self.wrong.surges.iter().position(|known| *known == surge) {
                     self.wrong.surges.remove(at);
                 }
@@ -183,10 +186,6 @@
         }
     }
 
-    pub(super) fn stops(&mut self, server: usize) {
-        self.dies(server);
-    }
-
     /// A server's process is no more: what it had is reset, and discovery hears of it.
     pub(super) fn dies(&mut self, server: usize) {
         if self.machines[server].process.take().is_none() {
@@ -265,7 +264,7 @@
                 self.plans_step(server);
             }
             let (answer, wait) = (Answer::Failed, 0);
-            self.queue.push(now + 500, Next::Answered { id, answer, wait });
+            self.queue.push(now + super::clients::CLIENT_WAY, Next::Answered { id, answer, wait });
         }
     }
 
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -217,7 +217,6 @@
     changes: Vec<ServerInfo>,
     published: BTreeMap<ServerId, (u64, ServerInfo)>,
     counter: Option<CounterService>,
-    counter_timeout: Micros,
     traffic: Traffic,
     strangers: BTreeMap<usize, crate::model::traffic::Customer>,
     next_stranger: usize,
@@ -251,7 +250,7 @@
 }
 
 /// What a gatekeeper is told at its start; `me` and `zone` are its own.
-fn settings(experiment: &Experiment) -> Settings {
+pub(crate) fn settings(experiment: &Experiment) -> Settings {
     let fleet = &experiment.fleet;
     let class = |class: &crate::experiment::Class| Class {
         aim: class.aim_s.micros(),
@@ -331,7 +330,6 @@
             changes: Vec::new(),
             published: BTreeMap::new(),
             counter,
-            counter_timeout: (experiment.counter.timeout_ms.0 * 1e3) as Micros,
             traffic,
             strangers: BTreeMap::new(),
             next_stranger: usize::MAX,
@@ -431,7 +429,7 @@
             Next::FaultBegins(number) => self.fault_begins(number),
             Next::FaultEnds(number) => self.fault_ends(number),
             Next::Drains { server, replaced } => self.drains(server, replaced),
-            Next::Stops(server) => self.stops(server),
+            Next::Stops(server) => self.dies(server),
             Next::Second => {
                 for machine in &mut self.machines {
                     let inflight = machine.process.as_ref().map_or(0, ResaleServer::inflight);
@@ -481,8 +479,8 @@
             None => (Micros::MAX / 2, Called::Busy),
         };
         let (at, outcome) = match called {
-            _ if at + back > self.now + self.counter_timeout => {
-                (self.now + self.counter_timeout, CounterOutcome::Timeout)
+            _ if at + back > self.now + self.settings.counter_timeout => {
+                (self.now + self.settings.counter_timeout, CounterOutcome::Timeout)
             }
             Called::Total(total) => (at + back, CounterOutcome::Total(total)),
             Called::Busy => (at + back, CounterOutcome::Refused),
--- a/crates/lab/src/world/sends.rs
+++ b/crates/lab/src/world/sends.rs
@@ -234,7 +234,7 @@
             }
             self.oracle.answered(self.now, id, Answer::Served);
             let answer = Next::Answered { id, answer: Answer::Served, wait: 0 };
-            self.queue.push(self.now + 500, answer);
+            self.queue.push(self.now + super::clients::CLIENT_WAY, answer);
         }
         let what = self.requests.get(&asked).map(|request| request.what);
         let done = AttemptDone {
