--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -4,8 +4,6 @@
 use crate::experiment::Effect as Kind;
 use crate::results::{End, Over};
 
-/// One way between a client and a gatekeeper, µs.
-pub(super) const CLIENT_WAY: Micros = 500;
 /// A connection to a gatekeeper that is no more is refused within this.
 const REFUSED_WITHIN: Micros = 1_000;
 
@@ -77,7 +75,7 @@
             return self.queue.push(self.now + REFUSED_WITHIN, Next::Answered { id, answer, wait });
         }
         self.queue.push(self.now + CLIENT_WAY, Next::Reached(id));
-        self.queue.push(until + super::sends::ANSWER_SLACK, Next::GivesUp(id));
+        self.queue.push(until + ANSWER_SLACK, Next::GivesUp(id));
     }
 
     /// A try has come to its gatekeeper whole.
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -264,7 +264,7 @@
                 self.plans_step(server);
             }
             let (answer, wait) = (Answer::Failed, 0);
-            self.queue.push(now + super::clients::CLIENT_WAY, Next::Answered { id, answer, wait });
+            self.queue.push(now + CLIENT_WAY, Next::Answered { id, answer, wait });
         }
     }
 
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -23,6 +23,10 @@
 
 /// When a run begins, µs: far enough from 0 that nothing lies before it.
 const START: Micros = 1_000_000_000;
+/// One way between a client and a gatekeeper, µs.
+const CLIENT_WAY: Micros = 500;
+/// A client hears nothing any more so long after its time.
+const ANSWER_SLACK: Micros = 60_000;
 /// The most units of one request.
 const MOST_UNITS: f64 = 4.0;
 /// Slack of a ceiling, as a part of its burst.
--- a/crates/lab/src/world/sends.rs
+++ b/crates/lab/src/world/sends.rs
@@ -3,8 +3,6 @@
 use super::*;
 use crate::model::server::Taken;
 
-/// A client hears nothing any more so long after its time.
-pub(super) const ANSWER_SLACK: Micros = 60_000;
 /// An idle connection is closed after this.
 const CONN_IDLE: Micros = 30_000_000;
 /// A connection that does not come up is given up after this.
@@ -234,7 +232,7 @@
             }
             self.oracle.answered(self.now, id, Answer::Served);
             let answer = Next::Answered { id, answer: Answer::Served, wait: 0 };
-            self.queue.push(self.now + super::clients::CLIENT_WAY, answer);
+            self.queue.push(self.now + CLIENT_WAY, answer);
         }
         let what = self.requests.get(&asked).map(|request| request.what);
         let done = AttemptDone {
