--- a/crates/gatekeeper/src/config.rs
+++ b/crates/gatekeeper/src/config.rs
@@ -1,5 +1,6 @@
 //! What the gatekeeper is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
 
+use crate::events::Events;
 use granitelead_decisions::settings::{flatten, settings, Fault, FieldError, Fields, Names};
 use granitelead_decisions::{Micros, Settings};
 use granitelead_list::forms::HostList;
@@ -97,6 +98,8 @@
     counter: Option<String>,
     admin_addr: Option<String>,
     #[serde(default)]
+    events: bool,
+    #[serde(default)]
     known: HostList,
     settings: serde_json::Value,
 }
@@ -148,6 +151,8 @@
     pub counter: Option<SocketAddr>,
     /// Where operators call; without it there is no door for them.
     pub admin: Option<SocketAddr>,
+    /// Says what becomes of its own state; nothing unless asked to.
+    pub events: Events,
     /// For random numbers.
     pub seed: u64,
     /// The servers as this gatekeeper last had them; may be old.
@@ -259,6 +264,7 @@
             discovery_compare: file.discovery_compare_ms.map(|ms| Duration::from_millis(ms.get().into())),
             counter: counter(file.counter)?,
             admin: optional("admin_addr", variable("RELAY_ADMIN_ADDR").or(file.admin_addr))?,
+            events: Events::new(file.events),
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| ConfigFault::NotHexadecimal(file.seed.clone()).of("seed"))?,
             known: file.known,
--- a/crates/gatekeeper/src/driver.rs
+++ b/crates/gatekeeper/src/driver.rs
@@ -3,6 +3,7 @@
 use crate::body::{Counted, Flow, Gathered, Room};
 use crate::config::Config;
 use crate::counter::{Caller, Counter};
+use crate::events::Events;
 use crate::servers::side::{Attempted, Parts, Progress, Servers};
 use crate::telemetry::{End, Telemetry};
 use bytes::Bytes;
@@ -109,6 +110,8 @@
     pub telemetry: Rc<Telemetry>,
     /// Room for bodies that are held.
     pub room: Room,
+    /// Says what becomes of this gatekeeper's own state.
+    pub says: Events,
     gatekeeper: RefCell<Gatekeeper>,
     clock: Clock,
     open: RefCell<HashMap<RequestId, Open>>,
@@ -129,6 +132,7 @@
             listing: Listing::new(),
             telemetry,
             room,
+            says: config.events,
             counter: Counter::new(config.counter, settings.counter_timeout, config.seed),
             gatekeeper: RefCell::new(Gatekeeper::new(settings, config.seed, clock.now())),
             clock,
--- a/crates/gatekeeper/src/lib.rs
+++ b/crates/gatekeeper/src/lib.rs
@@ -3,13 +3,14 @@
 //!
 //! Imports run down this list, never up: `lifecycle` (start, reload, upgrade, stop), `operators`, `clients`
 //! and `list` (the sides that bring events), `driver` (which owns the decisions), `servers` and `counter`
-//! (the sides that carry actions out), `body`, `telemetry`, `config`, `times`.
+//! (the sides that carry actions out), `body`, `telemetry`, `config`, `events`, `times`.
 
 pub mod body;
 pub mod clients;
 pub mod config;
 pub mod counter;
 pub mod driver;
+pub mod events;
 pub mod lifecycle;
 pub mod list;
 pub mod operators;
--- a/crates/gatekeeper/src/lifecycle/run.rs
+++ b/crates/gatekeeper/src/lifecycle/run.rs
@@ -3,6 +3,7 @@
 use crate::clients::side::ClientSide;
 use crate::config::Config;
 use crate::driver::Driver;
+use crate::events::Own;
 use crate::lifecycle::handover::{listen, meeting_place, Predecessor, Upgrade};
 use crate::list::{follow, Book};
 use crate::operators::by_hand::ByHand;
@@ -12,6 +13,7 @@
 use granitelead_decisions::ListScope;
 use granitelead_list::follower::{Follower, Pace};
 use granitelead_list::sources::Sources;
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -77,6 +79,7 @@
         () = side.until_left() => {}
         _ = term.recv() => {}
     }
+    driver.says.says(&Own::Stops);
     if !side.is_retired() {
         // The listening socket closes with its last user, and is not to be passed on any more.
         upgrades.abort();
@@ -129,8 +132,16 @@
         .comparing_after(config.discovery_compare);
     let sources = Sources::new(config.discovery.clone(), &config.known);
     let follower = Follower::new(sources, pace, driver.listing.clone());
-    let (driver, side) = (driver.clone(), side.clone());
-    spawn_local(follow(driver, book, follower, places, move || side.set_ready()));
+    let (driver, side, ready) = (driver.clone(), side.clone(), Cell::new(false));
+    let told = driver.clone();
+    spawn_local(follow(driver, book, follower, places, move || {
+        side.set_ready();
+        let (rev, epoch) = (told.listing.rev.get(), told.listing.epoch.get());
+        told.says.says(&Own::List { rev, epoch });
+        if !ready.replace(true) {
+            told.says.says(&Own::Ready);
+        }
+    }));
     discovery
 }
 
--- a/crates/gatekeeper/src/operators/by_hand.rs
+++ b/crates/gatekeeper/src/operators/by_hand.rs
@@ -2,6 +2,7 @@
 //! gatekeeper.
 
 use crate::driver::Driver;
+use crate::events::Own;
 use crate::list::Book;
 use granitelead_base::note;
 use std::cell::{Cell, RefCell};
@@ -43,6 +44,7 @@
         };
         self.driver.by_hand(id, out);
         if changed {
+            self.driver.says.says(&Own::ByHand { server: uid, out });
             eprintln!("granitelead: {uid} {}", if out { "left out" } else { "put back" });
             if let Err(e) = self.keep() {
                 note(&self.odd, format_args!("left out until this process ends only: {e}"));
--- a/crates/gatekeeper/src/operators/door.rs
+++ b/crates/gatekeeper/src/operators/door.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::side::ClientSide;
 use crate::config::CALLERS_MAX;
+use crate::events::Own;
 use crate::operators::by_hand::ByHand;
 use granitelead_base::{note, ACCEPT_PAUSE};
 use std::cell::{Cell, RefCell};
@@ -127,10 +128,12 @@
             Call::Exclude(_) | Call::Include(_) => "NO never listed\n".into(),
             Call::Evacuate => {
                 self.side.evacuate();
+                self.by_hand.driver.says.says(&Own::Evacuates);
                 "YES\n".into()
             }
             Call::Activate => {
                 self.side.activate();
+                self.by_hand.driver.says.says(&Own::Activates);
                 "YES\n".into()
             }
         }
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -11,6 +11,8 @@
 
 /// The longest experiment, s of virtual time: loops are bounded.
 const SECONDS_MAX: f64 = 3_600.0;
+/// On processes, service is looked at for so long once it has to have settled, s.
+pub const SERVES_S: f64 = 2.5;
 /// Most gatekeepers, most servers.
 const FLEET_MAX: u32 = 10_000;
 /// Most requests a second of all clients.
@@ -139,7 +141,7 @@
     #[serde(default = "platform_plans", rename = "plan")]
     pub plans: Vec<Plan>,
     /// What goes wrong.
-    #[serde(default, rename = "fault")]
+    #[serde(default, rename = "fault", alias = "faults")]
     pub faults: Vec<Spanned<Fault>>,
     /// What is compared; the first is what the others are compared with.
     #[serde(default = "one_variant", rename = "variant")]
@@ -190,6 +192,10 @@
     pub list_s: (Positive, Positive),
     /// How long the front takes to notice that a gatekeeper is gone, s.
     pub notice_s: Positive,
+    /// Mirrors of the list service; on processes only.
+    pub mirrors: u32,
+    /// How long after the last fault all has to be as it should; on processes only, s.
+    pub settles_s: Positive,
 }
 
 impl Default for Fleet {
@@ -215,6 +221,8 @@
             jitter: Share(0.2),
             list_s: (Positive(1.0), Positive(4.0)),
             notice_s: Positive(2.0),
+            mirrors: 0,
+            settles_s: Positive(8.0),
         }
     }
 }
@@ -406,6 +414,77 @@
     pub zone: Option<String>,
     /// Which plan.
     pub plan: Option<String>,
+    /// Of a `link`: which parties; the share is of them.
+    pub of: Option<Parties>,
+    /// Of a `link`: the others; everybody where it is absent.
+    pub to: Option<Parties>,
+    /// Of a `link`: what happens on the way between them.
+    pub how: Option<How>,
+    /// Of a delay: the mean, ms, of which each message gets half to one and a half.
+    pub ms: Option<Positive>,
+    /// Of a narrow link: bytes a second.
+    pub bytes_per_s: Option<Positive>,
+    /// With which folder a killed process starts again; its own where it is absent.
+    pub folder: Option<Folder>,
+}
+
+/// Sets of parties.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Parties {
+    /// The front, through which all clients come.
+    Clients,
+    /// All gatekeepers.
+    Gatekeepers,
+    /// All servers.
+    Servers,
+    /// The counter.
+    Counter,
+    /// The list service and its mirrors.
+    Lists,
+}
+
+/// What happens on the ways between two sets of parties, whoever connects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum How {
+    /// Nothing passes, and nobody is told.
+    Cut,
+    /// Nothing passes from those the fault is of to the others.
+    CutOut,
+    /// Nothing passes from the others to those the fault is of.
+    CutBack,
+    /// New connections are ended at once; those there are stay.
+    Refuse,
+    /// All connections are reset when it begins, and new ones stand.
+    Reset,
+    /// Each message takes longer.
+    Delay,
+    /// The next message each way stops in its middle.
+    Stall,
+    /// So many bytes a second pass.
+    Narrow,
+}
+
+/// A folder to start with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Folder {
+    /// As the process left it.
+    Kept,
+    /// With nothing in it.
+    Empty,
+    /// As it was when the run began.
+    Older,
+}
+
+/// On what an experiment is played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// The decisions alone.
+    VirtualTime,
+    /// Real processes on loopback.
+    Processes,
 }
 
 /// Kinds of faults.
@@ -436,6 +515,49 @@
     PlanSurge,
     /// Customers that are seen once ask for a share of the usual traffic on top.
     OneOffs,
+    /// A share of the gatekeepers is asked to stop (SIGTERM); they start again when the time is over.
+    StopGatekeepers,
+    /// A share of the gatekeepers is paused, and goes on when the time is over.
+    PauseGatekeepers,
+    /// A share of the gatekeepers runs `1 / times` of the time.
+    SlowGatekeepers,
+    /// A share of the gatekeepers is killed 1 s after each of its starts.
+    CrashLoop,
+    /// A share of the gatekeepers is killed and finds its port taken until the time is over.
+    PortTaken,
+    /// The list service's writer is killed; it starts again when the time is over.
+    KillList,
+    /// The list service's writer is paused.
+    PauseList,
+    /// Something happens on the ways between parties.
+    Link,
+    /// The machine that plays all this stands still.
+    RigStalls,
+}
+
+impl FaultKind {
+    /// Whether there have to be processes for it.
+    pub fn needs_processes(self) -> bool {
+        use FaultKind::*;
+        matches!(
+            self,
+            StopGatekeepers
+                | PauseGatekeepers
+                | SlowGatekeepers
+                | CrashLoop
+                | PortTaken
+                | KillList
+                | PauseList
+                | Link
+                | RigStalls
+        )
+    }
+
+    /// As a file has it, in words.
+    pub fn words(self) -> String {
+        let name = serde_json::to_value(self).ok();
+        name.as_ref().and_then(|name| name.as_str()).unwrap_or_default().replace('_', " ")
+    }
 }
 
 /// What is compared: the limits of the platform as the experiment has them, but for these.
@@ -516,25 +638,47 @@
 
 impl Experiment {
     /// Reads a file, whole and checked.
-    pub fn read(path: &Path) -> Result<Experiment, ExperimentError> {
+    pub fn read(path: &Path, mode: Mode) -> Result<Experiment, ExperimentError> {
         let text = std::fs::read_to_string(path)
             .map_err(|error| ExperimentError::Unread { path: path.to_owned(), error })?;
-        Experiment::parse(&text, path)
+        Experiment::parse(&text, path, mode)
     }
 
     /// Reads the text of a file of that name.
-    pub fn parse(text: &str, path: &Path) -> Result<Experiment, ExperimentError> {
+    pub fn parse(text: &str, path: &Path, mode: Mode) -> Result<Experiment, ExperimentError> {
         let read: Experiment = toml::from_str(text)
             .map_err(|error| ExperimentError::Form { path: path.to_owned(), error: Box::new(error) })?;
-        read.check(text).map_err(|(at, field, fault)| ExperimentError::Field {
-            path: path.to_owned(),
-            line: text[..at.min(text.len())].lines().count().max(1),
-            field,
-            fault,
+        read.check(text).and_then(|()| read.check_mode(mode)).map_err(|(at, field, fault)| {
+            ExperimentError::Field {
+                path: path.to_owned(),
+                line: text[..at.min(text.len())].lines().count().max(1),
+                field,
+                fault,
+            }
         })?;
         Ok(read)
     }
 
+    /// What can't be played in that way.
+    fn check_mode(&self, mode: Mode) -> Result<(), (usize, String, String)> {
+        for fault in &self.faults {
+            let (span, fault) = (fault.span().start + 1, fault.get_ref());
+            let bad = |field: &str, what: String| Err((span, format!("fault.{field}"), what));
+            if mode == Mode::VirtualTime && fault.kind.needs_processes() {
+                return bad("kind", format!("`{}` needs processes", fault.kind.words()));
+            }
+            let over = fault.at.0 + fault.lasts.0 + self.fleet.settles_s.0 + SERVES_S;
+            if mode == Mode::Processes && over > self.seconds.0 {
+                let left = "of the run for all to be as it should";
+                return bad(
+                    "lasts",
+                    format!("until {over} s there is not enough {left} (`fleet.settles_s`)"),
+                );
+            }
+        }
+        Ok(())
+    }
+
     /// What doesn't fit together: where it stands in the text, which field, and why.
     fn check(&self, text: &str) -> Result<(), (usize, String, String)> {
         let at = |word: &str| text.find(word).map_or(0, |at| at + 1);
@@ -593,6 +737,26 @@
                 None if surge => return bad("plan", "missing".into()),
                 _ => {}
             }
+            let link = fault.kind == FaultKind::Link;
+            for (field, there, needed) in [
+                ("of", fault.of.is_some(), link),
+                ("how", fault.how.is_some(), link),
+                ("ms", fault.ms.is_some(), fault.how == Some(How::Delay)),
+                ("bytes_per_s", fault.bytes_per_s.is_some(), fault.how == Some(How::Narrow)),
+            ] {
+                match (there, needed) {
+                    (false, true) => return bad(field, "missing".into()),
+                    (true, false) => return bad(field, "means nothing here".into()),
+                    _ => {}
+                }
+            }
+            if fault.to.is_some() && !link {
+                return bad("to", "means nothing here".into());
+            }
+            let killed = matches!(fault.kind, FaultKind::KillGatekeepers | FaultKind::KillList);
+            if fault.folder.is_some() && !killed {
+                return bad("folder", "means nothing here".into());
+            }
         }
         Ok(())
     }
@@ -617,13 +781,15 @@
 mod tests {
     use super::*;
 
-    fn fault_of(text: &str) -> String {
-        Experiment::parse(text, Path::new("x.toml")).expect_err("it is refused").to_string()
+    fn fault_of(text: &str, mode: Mode) -> String {
+        Experiment::parse(text, Path::new("x.toml"), mode).expect_err("it is refused").to_string()
     }
 
     #[test]
     fn the_least_file_is_an_experiment_on_the_platform() {
-        let least = Experiment::parse("ask = 'What?'\nseconds = 10\n", Path::new("x.toml")).unwrap();
+        let least =
+            Experiment::parse("ask = 'What?'\nseconds = 10\n", Path::new("x.toml"), Mode::VirtualTime)
+                .unwrap();
         assert_eq!((least.seeds.len(), least.classes.len(), least.plans.len()), (5, 2, 3));
         assert!((least.rate() - 0.65 * 72.0 / 0.2968).abs() < 1.0, "{}", least.rate());
     }
@@ -647,10 +813,18 @@
             ("[[fault]]\nkind = 'plan_surge'\nat = 1\nplan = 'gold'\n", "line 3", "fault.plan"),
             ("[[fault]]\nkind = 'slow'\nat = 99\n", "line 3", "fault.at"),
             ("[[fault]]\nkind = 'slow'\nat = 1\nshare = 1.5\n", "line 6", "share"),
+            ("[[fault]]\nkind = 'link'\nat = 1\nhow = 'cut'\n", "line 3", "fault.of"),
+            ("[[fault]]\nkind = 'link'\nat = 1\nof = 'servers'\n", "line 3", "fault.how"),
+            ("[[fault]]\nkind = 'link'\nat = 1\nof = 'servers'\nhow = 'delay'\n", "line 3", "fault.ms"),
+            ("[[fault]]\nkind = 'slow'\nat = 1\nhow = 'cut'\n", "line 3", "fault.how"),
+            ("[[fault]]\nkind = 'slow'\nat = 1\nfolder = 'empty'\n", "line 3", "fault.folder"),
+            ("[[fault]]\nkind = 'pause_list'\nat = 1\n", "line 3", "fault.kind"),
         ] {
-            let told = fault_of(&format!("{begin}{more}"));
+            let told = fault_of(&format!("{begin}{more}"), Mode::VirtualTime);
             assert!(told.contains(line) && told.contains(field), "{more}: {told}");
         }
-        assert!(fault_of("ask = 'What?'\n").contains("seconds"));
+        assert!(fault_of("ask = 'What?'\n", Mode::VirtualTime).contains("seconds"));
+        let late = format!("{begin}[[fault]]\nkind = 'pause_list'\nat = 1\nlasts = 5\n");
+        assert!(fault_of(&late, Mode::Processes).contains("fault.lasts"));
     }
 }
--- /dev/null
+++ b/crates/lab/src/judge.rs
@@ -0,0 +1,386 @@
+//! Judges a fleet of processes by its history alone, whatever the machine's speed. What must never happen is a breach as
+//! soon as it is seen; what must come about in the end is looked for only after the last fault has had its time, and is
+//! not decided where the rig was itself held up.
+
+use crate::experiment::{Effect, Experiment};
+use crate::history::{Event, Hindrance, Seen};
+use crate::oracle::{Breach, Ceiling, Oracle, Rule};
+use granitelead_decisions::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Breaches kept in words.
+const KEPT: usize = 20;
+/// Nothing new goes to a server so long after its gatekeeper was told: the rule's second, the protocol's 50 ms, and what
+/// two loopback ways and a scheduler may take.
+const DRAIN_GRACE: u64 = 1_250_000;
+/// A repeat has to go out within the time of its key; the same allowance.
+const KEY_GRACE: u64 = 250_000;
+/// The protocol's slack on a ceiling, of its rate.
+const CEILING_SLACK: u64 = 150_000;
+/// The end of a process is seen within this.
+const DEATH_SEEN: u64 = 100_000;
+/// A gatekeeper that got fewer tries at the end shows nothing.
+const ASKED: usize = 10;
+/// The rig counts as held up where it stood still for longer at once.
+const HELD: u64 = 250_000;
+
+/// What the rules go by on the platform that was played.
+pub struct Terms {
+    /// Effect and time of the keys, µs, by class.
+    classes: Vec<(Effect, u64)>,
+    /// By plan.
+    ceilings: Vec<Option<Ceiling>>,
+    gatekeepers: usize,
+    settles: u64,
+}
+
+impl Terms {
+    /// Those of an experiment.
+    pub fn of(experiment: &Experiment) -> Terms {
+        let settings = crate::world::settings(experiment);
+        let ceiling = |plan: &granitelead_decisions::Plan| {
+            (plan.ceiling_rate > 0.0).then_some(Ceiling {
+                rate: plan.ceiling_rate,
+                burst: plan.ceiling_burst,
+                slack: plan.ceiling_slack,
+            })
+        };
+        Terms {
+            classes: experiment.classes.iter().map(|class| (class.effect, class.key_s.micros())).collect(),
+            ceilings: settings.plans.iter().map(ceiling).collect(),
+            gatekeepers: experiment.fleet.gatekeepers.0 as usize,
+            settles: experiment.fleet.settles_s.micros(),
+        }
+    }
+}
+
+/// The judgement.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Verdict {
+    /// How often each rule was broken.
+    pub counts: BTreeMap<Rule, u64>,
+    /// The first breaches, in words.
+    pub breaches: Vec<Breach>,
+    /// What could not be decided, and why.
+    pub undecided: Vec<String>,
+}
+
+impl Verdict {
+    /// Whether nothing was broken.
+    pub fn is_clean(&self) -> bool {
+        self.counts.is_empty()
+    }
+
+    /// In a word.
+    pub fn word(&self) -> &'static str {
+        match (self.is_clean(), self.undecided.is_empty()) {
+            (false, _) => "broken",
+            (true, false) => "not decided",
+            (true, true) => "kept",
+        }
+    }
+
+    fn breach(&mut self, at: u64, rule: Rule, what: String) {
+        *self.counts.entry(rule).or_default() += 1;
+        if self.breaches.len() < KEPT {
+            self.breaches.push(Breach { at_s: at as f64 / 1e6, rule, what });
+        }
+    }
+}
+
+/// Spans of time.
+#[derive(Default)]
+struct Spans(Vec<(u64, u64)>);
+
+impl Spans {
+    fn meet(&self, from: u64, until: u64) -> bool {
+        self.0.iter().any(|(begin, end)| *begin <= until && from <= *end)
+    }
+
+    fn longest(&self) -> u64 {
+        self.0.iter().map(|(begin, end)| end - begin).max().unwrap_or(0)
+    }
+}
+
+/// When which gatekeeper could not be held to its times.
+struct Excuses {
+    hindered: BTreeMap<(usize, Hindrance), Spans>,
+    dead: BTreeMap<usize, Spans>,
+    held: Spans,
+}
+
+impl Excuses {
+    fn of(history: &[Event]) -> Excuses {
+        let end = history.last().map_or(0, |event| event.at);
+        let mut it = Excuses { hindered: BTreeMap::new(), dead: BTreeMap::new(), held: Spans::default() };
+        let (mut open, mut down) = (BTreeMap::new(), BTreeMap::new());
+        for Event { at, what } in history {
+            match what {
+                Seen::Hindered { gatekeeper, what, by } => {
+                    open.insert((*gatekeeper, *what, *by), *at);
+                }
+                Seen::Freed { gatekeeper, what, by } => {
+                    if let Some(begun) = open.remove(&(*gatekeeper, *what, *by)) {
+                        it.hindered.entry((*gatekeeper, *what)).or_default().0.push((begun, *at));
+                    }
+                }
+                Seen::Ended { gatekeeper, .. } => {
+                    down.insert(*gatekeeper, *at);
+                }
+                Seen::Started { gatekeeper } => {
+                    if let Some(begun) = down.remove(gatekeeper) {
+                        it.dead.entry(*gatekeeper).or_default().0.push((begun, *at));
+                    }
+                }
+                Seen::Held { micros } if *micros > HELD => {
+                    it.held.0.push((at.saturating_sub(*micros), *at));
+                }
+                _ => {}
+            }
+        }
+        for ((gatekeeper, what, _), begun) in open {
+            it.hindered.entry((gatekeeper, what)).or_default().0.push((begun, end));
+        }
+        for (gatekeeper, begun) in down {
+            it.dead.entry(gatekeeper).or_default().0.push((begun, end));
+        }
+        it
+    }
+
+    /// Whether a gatekeeper was hindered in one of these at any time of a span.
+    fn hindered(&self, gatekeeper: usize, what: &[Hindrance], from: u64, until: u64) -> bool {
+        what.iter().any(|what| self.hindered.get(&(gatekeeper, *what)).is_some_and(|it| it.meet(from, until)))
+    }
+
+    /// Whether it could not be expected to answer.
+    fn no_answer(&self, gatekeeper: usize, from: u64, until: u64) -> bool {
+        let dead = self.dead.get(&gatekeeper).is_some_and(|it| it.meet(from, until));
+        dead || self.hindered(gatekeeper, &[Hindrance::Runs, Hindrance::Answers], from, until)
+    }
+
+    /// Whether what it sent may have arrived late.
+    fn late_sends(&self, gatekeeper: usize, from: u64, until: u64) -> bool {
+        self.hindered(gatekeeper, &[Hindrance::Runs, Hindrance::Sends], from, until)
+    }
+
+    /// The longest for which anything was held up on its way.
+    fn longest(&self) -> u64 {
+        self.hindered.values().chain([&self.held]).map(Spans::longest).max().unwrap_or(0)
+    }
+}
+
+/// A try as the history has it.
+struct Try {
+    gatekeeper: usize,
+    asked: u64,
+    customer: usize,
+    class: usize,
+    plan: usize,
+    units: f64,
+    /// When it first may have run.
+    ran: Option<u64>,
+    reached: bool,
+    ended: bool,
+}
+
+/// Judges a history; what has not been kept of it is in `dropped`.
+pub fn judge(history: &[Event], dropped: u64, terms: &Terms) -> Verdict {
+    let mut verdict = Verdict::default();
+    let excuses = Excuses::of(history);
+    if dropped > 0 {
+        verdict.undecided.push(format!("{dropped} events had no room"));
+    }
+    safety(history, terms, &excuses, &mut verdict);
+    in_the_end(history, terms, &excuses, &mut verdict);
+    verdict
+}
+
+/// What must never happen.
+fn safety(history: &[Event], terms: &Terms, excuses: &Excuses, verdict: &mut Verdict) {
+    let mut tries = BTreeMap::<u64, Try>::new();
+    // By gatekeeper: servers that take nothing new, and since when it knows.
+    let mut shut = vec![BTreeMap::<String, u64>::new(); terms.gatekeepers];
+    let mut known = vec![BTreeSet::<String>::new(); terms.gatekeepers];
+    let mut ceilings = Oracle::new(0, true);
+    let hitch = excuses.longest();
+    let mut doubtful = 0u64;
+    for Event { at, what } in history {
+        let at = *at;
+        match what {
+            Seen::Asked { id, gatekeeper, customer, class, plan, units, .. } => {
+                let it = Try {
+                    gatekeeper: *gatekeeper,
+                    asked: at,
+                    customer: *customer,
+                    class: *class,
+                    plan: *plan,
+                    units: *units,
+                    ran: None,
+                    reached: false,
+                    ended: false,
+                };
+                tries.insert(*id, it);
+            }
+            Seen::Answered { id, status, own } => match tries.get_mut(id) {
+                None => {
+                    verdict.breach(at, Rule::NoneLost, format!("try {id} is answered though nobody asked"))
+                }
+                Some(it) => {
+                    if std::mem::replace(&mut it.ended, true) {
+                        verdict.breach(at, Rule::NoneLost, format!("try {id} is answered twice"));
+                    } else if *status == 200 && !(*own && it.reached) {
+                        verdict.breach(at, Rule::NoneLost, format!("try {id} is served by no server"));
+                    }
+                }
+            },
+            Seen::Broke { id, begun } => {
+                let Some(it) = tries.get_mut(id) else { continue };
+                it.ended = true;
+                // A process that dies resets its connections before anybody sees that it is dead; what is closed
+                // before anything is done for it counts as refused.
+                let excused = excuses.no_answer(it.gatekeeper, it.asked, at + DEATH_SEEN);
+                if it.reached && !begun && !excused {
+                    verdict.breach(at, Rule::NoneLost, format!("try {id}: its connection ended, no answer"));
+                }
+            }
+            Seen::Silence { id } => {
+                let Some(it) = tries.get_mut(id) else { continue };
+                it.ended = true;
+                let (gatekeeper, asked) = (it.gatekeeper, it.asked);
+                if excuses.no_answer(gatekeeper, asked, at) {
+                    continue;
+                }
+                if excuses.held.meet(asked, at) {
+                    doubtful += 1;
+                } else {
+                    let what = format!("try {id} never got an answer from gatekeeper {gatekeeper}");
+                    verdict.breach(at, Rule::NoneLost, what);
+                }
+            }
+            Seen::Reached { id, server, ran } => {
+                let Some(it) = tries.get_mut(id) else { continue };
+                let first = !std::mem::replace(&mut it.reached, true);
+                let gatekeeper = it.gatekeeper;
+                if let Some(since) = shut[gatekeeper].get(server).filter(|since| at > **since + DRAIN_GRACE) {
+                    let ms = (at - since) / 1_000;
+                    if excuses.held.meet(*since, at) {
+                        doubtful += 1;
+                    } else if !excuses.late_sends(gatekeeper, *since, at) {
+                        let what =
+                            format!("gatekeeper {gatekeeper} sent to {server} {ms} ms after it was told");
+                        verdict.breach(at, Rule::OrderlyDrain, what);
+                    }
+                }
+                let (effect, key) = terms.classes[it.class];
+                let again = match (effect, it.ran) {
+                    (_, None) | (Effect::Idempotent, _) => false,
+                    (Effect::Deduplicated, Some(ran)) => at > ran + key + KEY_GRACE,
+                    (Effect::AtMostOnce, Some(_)) => true,
+                };
+                if again && !excuses.late_sends(gatekeeper, it.asked, at) {
+                    if excuses.held.meet(it.asked, at) && effect == Effect::Deduplicated {
+                        doubtful += 1;
+                    } else {
+                        let what = format!("try {id} came again though it may have run");
+                        verdict.breach(at, Rule::NoDuplicate, what);
+                    }
+                }
+                if *ran {
+                    it.ran.get_or_insert(at);
+                }
+                if let Some(ceiling) = terms.ceilings[it.plan].filter(|_| first) {
+                    // What was held up on its way comes all at once.
+                    let slack = ceiling.slack + ceiling.rate * (CEILING_SLACK + hitch) as f64 / 1e6;
+                    ceilings.spent(at as Micros, it.customer, it.units, Ceiling { slack, ..ceiling });
+                }
+            }
+            Seen::Fell { server } => {
+                verdict.breach(at, Rule::OrderlyFailBack, format!("{server} was pushed over"));
+            }
+            Seen::Told { gatekeeper, all, servers, .. } => {
+                let (shut, known) = (&mut shut[*gatekeeper], &mut known[*gatekeeper]);
+                if *all {
+                    let named: BTreeSet<&String> = servers.iter().map(|(uid, _)| uid).collect();
+                    for uid in known.iter().filter(|uid| !named.contains(uid)) {
+                        shut.entry(uid.clone()).or_insert(at);
+                    }
+                }
+                for (uid, open) in servers {
+                    known.insert(uid.clone());
+                    if *open {
+                        shut.remove(uid);
+                    } else {
+                        shut.entry(uid.clone()).or_insert(at);
+                    }
+                }
+            }
+            Seen::Ended { gatekeeper, asked: false, how } => {
+                verdict.breach(at, Rule::NoCrash, format!("gatekeeper {gatekeeper} ended by itself: {how}"));
+            }
+            // Its successor has been told nothing yet.
+            Seen::Started { gatekeeper } => shut[*gatekeeper].clear(),
+            _ => {}
+        }
+    }
+    for (rule, n) in ceilings.counts() {
+        *verdict.counts.entry(*rule).or_default() += n;
+    }
+    verdict
+        .breaches
+        .extend(ceilings.breaches().iter().take(KEPT.saturating_sub(verdict.breaches.len())).cloned());
+    if doubtful > 0 {
+        let longest = excuses.held.longest() / 1_000;
+        verdict.undecided.push(format!("{doubtful} events: the rig stood still for up to {longest} ms"));
+    }
+}
+
+/// What must come about in the end.
+fn in_the_end(history: &[Event], terms: &Terms, excuses: &Excuses, verdict: &mut Verdict) {
+    let Some(over) = history.iter().find(|event| event.what == Seen::Over).map(|event| event.at) else {
+        return verdict.undecided.push("the run was broken off".into());
+    };
+    let faults = history.iter().filter(|event| matches!(event.what, Seen::Fault { .. }));
+    let quiet = faults.map(|event| event.at).max().unwrap_or(0);
+    let from = quiet + terms.settles;
+    let mut served = BTreeSet::<usize>::new();
+    let mut asked = BTreeMap::new();
+    let mut told = BTreeMap::new();
+    let mut listed = None;
+    for event in history {
+        match event.what {
+            Seen::Asked { id, gatekeeper, .. } if event.at >= from => {
+                asked.insert(id, gatekeeper);
+            }
+            Seen::Answered { id, status: 200, .. } => {
+                served.extend(asked.get(&id));
+            }
+            Seen::Told { gatekeeper, rev, .. } => {
+                told.insert(gatekeeper, rev);
+            }
+            Seen::Listed { rev } => listed = Some(rev),
+            _ => {}
+        }
+    }
+    let mut missing = Vec::new();
+    let mut often = BTreeMap::<usize, usize>::new();
+    asked.values().for_each(|gatekeeper| *often.entry(*gatekeeper).or_default() += 1);
+    for (gatekeeper, _) in often.into_iter().filter(|(_, tries)| *tries >= ASKED) {
+        if !served.contains(&gatekeeper) {
+            missing.push((Rule::ServiceReturns, format!("gatekeeper {gatekeeper} serves nothing any more")));
+        }
+    }
+    for gatekeeper in (0..terms.gatekeepers).filter(|it| listed.is_some() && told.get(it) != listed.as_ref())
+    {
+        let (has, is) = (told.get(&gatekeeper).copied().unwrap_or(0), listed.unwrap_or(0));
+        let what = format!("gatekeeper {gatekeeper} was told version {has}, the list is at {is}");
+        missing.push((Rule::ListAgrees, what));
+    }
+    let held: u64 = excuses.held.0.iter().filter(|(begin, _)| *begin > quiet).map(|(a, b)| b - a).sum();
+    for (rule, what) in missing {
+        if held > terms.settles / 4 {
+            verdict.undecided.push(format!("{what}; the rig stood still for {} ms", held / 1_000));
+        } else {
+            verdict.breach(over, rule, what);
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,9 +3,12 @@
 
 pub mod compare;
 pub mod experiment;
+pub mod history;
+pub mod judge;
 pub mod loopback;
 pub mod model;
 pub mod oracle;
+pub mod play;
 pub mod queue;
 pub mod report;
 pub mod results;
--- a/crates/lab/src/loopback/counter.rs
+++ b/crates/lab/src/loopback/counter.rs
@@ -46,6 +46,12 @@
         Ok(it)
     }
 
+    /// It is back, empty.
+    pub fn restart(&self) {
+        let now = self.since.elapsed().as_micros() as Micros;
+        self.model.borrow_mut().restart(now);
+    }
+
     /// Answers calls in their order, each when it has had its turn.
     async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
--- a/crates/lab/src/loopback/mod.rs
+++ b/crates/lab/src/loopback/mod.rs
@@ -4,8 +4,12 @@
 pub mod clients;
 pub mod counter;
 pub mod demo;
-pub mod discovery;
+pub mod double;
+pub mod faults;
+pub mod fleet;
 pub mod gatekeeper;
+pub mod links;
+pub mod process;
 pub mod server;
 
 use std::net::{Ipv4Addr, SocketAddr};
@@ -23,22 +27,27 @@
         /// Why not.
         error: std::io::Error,
     },
-    /// A gatekeeper does not start.
-    #[error("gatekeeper {number} does not start: {why}")]
+    /// A process does not start.
+    #[error("{name} does not start: {why}")]
     NoStart {
-        /// Which, from 0.
-        number: usize,
+        /// Which.
+        name: String,
         /// What it said, or what failed.
         why: String,
     },
-    /// A gatekeeper ended though nobody told it to.
-    #[error("gatekeeper {number} has ended: {status}")]
-    Ended {
-        /// Which, from 0.
-        number: usize,
-        /// How.
-        status: String,
+    /// The machine has too little of something.
+    #[error("this needs up to {needs} {of}, the system allows {has}")]
+    TooMany {
+        /// How many.
+        needs: u64,
+        /// Of what.
+        of: &'static str,
+        /// How many there may be.
+        has: u64,
     },
+    /// A gatekeeper ended though nobody told it to.
+    #[error("{0}")]
+    Ended(String),
     /// Something else of the system's.
     #[error("{0}")]
     System(#[from] std::io::Error),
--- a/crates/lab/src/loopback/server.rs
+++ b/crates/lab/src/loopback/server.rs
@@ -1,10 +1,10 @@
 //! Resale servers on sockets: each the model of one, and what can be done to it.
 
 use super::{listener, FleetError};
+use crate::history::{History, Seen};
 use crate::model::server::{ResaleServer, Spec, Taken};
 use bytes::Bytes;
 use granitelead_decisions::Micros;
-use granitelead_list::forms::Target;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -18,10 +18,12 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
-use tokio::sync::{oneshot, watch, Notify};
+use tokio::sync::{oneshot, Notify};
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep_until, Instant};
 
+/// So many of so many answers of a failing server are errors.
+const FAILING: (u64, u64) = (4, 5);
 /// A key's repeats are dropped for so long.
 const KEY_FOR: Micros = 4_000_000;
 
@@ -33,6 +35,17 @@
     next: Cell<u64>,
 }
 
+impl Process {
+    /// These are done.
+    fn finish(&self, done: Vec<u64>) {
+        for id in done {
+            let wait = self.waits.borrow_mut().remove(&id);
+            // Who has left meanwhile needs no word.
+            let _ = wait.map(|wait| wait.send(()));
+        }
+    }
+}
+
 /// A server: its machine, and the process on it while there is one.
 pub struct Server {
     /// Its name.
@@ -43,34 +56,43 @@
     pub at: SocketAddr,
     /// Requests that reached it.
     pub attempts: Cell<u64>,
-    /// Requests that it ran, by id of the client's request.
-    pub ran: RefCell<HashMap<String, u32>>,
+    /// When its process started, Unix time in ms; 0 for long ago.
+    pub boot_ms: Cell<u64>,
+    history: Rc<History>,
     spec: Spec,
+    slow: Cell<f64>,
+    failing: Cell<bool>,
     since: Instant,
     process: RefCell<Option<Rc<Process>>>,
     /// Its listener and connections, which end with the process.
     tasks: RefCell<Vec<AbortHandle>>,
-    /// Whether it is cut off: nothing gets through, and nobody is told.
-    cut: watch::Sender<bool>,
 }
 
 impl Server {
-    /// One that runs, warm.
-    pub async fn start(uid: String, zone: String, spec: Spec) -> Result<Rc<Server>, FleetError> {
+    /// One that runs, warm or freshly started.
+    pub async fn start(
+        uid: String,
+        zone: String,
+        spec: Spec,
+        warm: bool,
+        history: Rc<History>,
+    ) -> Result<Rc<Server>, FleetError> {
         let (listener, at) = listener("a server").await?;
         let it = Rc::new(Server {
             uid,
             zone,
             at,
             attempts: Cell::new(0),
-            ran: RefCell::default(),
+            boot_ms: Cell::new(if warm { 0 } else { unix_ms() }),
+            history,
             spec,
+            slow: Cell::new(1.0),
+            failing: Cell::new(false),
             since: Instant::now(),
             process: RefCell::default(),
             tasks: RefCell::default(),
-            cut: watch::Sender::new(false),
         });
-        it.begin(listener, None);
+        it.begin(listener, (!warm).then_some(0));
         Ok(it)
     }
 
@@ -78,35 +100,33 @@
         self.since.elapsed().as_micros() as Micros
     }
 
-    /// How it is listed in that state.
-    pub fn listed(&self, state: &str) -> Target {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let process = self.process.borrow();
-        let cold = process.as_ref().is_some_and(|process| process.model.borrow().coldness(self.now()) < 1.0);
-        Target {
-            uid: self.uid.clone(),
-            endpoint: self.at.to_string(),
-            az: self.zone.clone(),
-            model: "stand-in".into(),
-            pod_group: 0,
-            state: state.into(),
-            capacity_hint: Some(1.0),
-            boot_ms: if cold { unix.as_millis() as u64 } else { 0 },
-        }
-    }
-
     /// Requests in hand, none where there is no process.
     pub fn inflight(&self) -> Option<usize> {
         self.process.borrow().as_ref().map(|process| process.model.borrow().inflight())
     }
 
-    /// Whether it is cut off.
-    pub fn is_cut(&self) -> bool {
-        *self.cut.borrow()
+    /// Whether it has a process.
+    pub fn runs(&self) -> bool {
+        self.process.borrow().is_some()
+    }
+
+    /// How many times slower it is than it should be, from now on.
+    pub fn set_slow(&self, times: f64) {
+        self.slow.set(times);
+        let Some(process) = self.process.borrow().clone() else { return };
+        let done = process.model.borrow_mut().set_slow(self.now(), times);
+        process.finish(done);
+        process.wakes.notify_one();
+    }
+
+    /// Whether most of its answers are errors, from now on.
+    pub fn set_failing(&self, failing: bool) {
+        self.failing.set(failing);
     }
 
     fn begin(self: &Rc<Self>, listener: TcpListener, started: Option<Micros>) {
         let model = RefCell::new(ResaleServer::new(self.spec.clone(), started, self.now()));
+        model.borrow_mut().set_slow(self.now(), self.slow.get());
         let process =
             Rc::new(Process { model, waits: RefCell::default(), wakes: Notify::new(), next: Cell::new(0) });
         *self.process.borrow_mut() = Some(process.clone());
@@ -136,11 +156,7 @@
     async fn work(&self, process: &Process) {
         loop {
             let done = process.model.borrow_mut().step(self.now());
-            for id in done {
-                let wait = process.waits.borrow_mut().remove(&id);
-                // Who has left meanwhile needs no word.
-                let _ = wait.map(|wait| wait.send(()));
-            }
+            process.finish(done);
             let next = process.model.borrow().next();
             let wakes = process.wakes.notified();
             match next {
@@ -153,12 +169,6 @@
         }
     }
 
-    async fn until_reached(&self) {
-        let mut cut = self.cut.subscribe();
-        // The sender is this server's own.
-        let _ = cut.wait_for(|cut| !cut).await;
-    }
-
     async fn answer(
         self: Rc<Self>,
         process: Rc<Process>,
@@ -167,7 +177,6 @@
         let (head, body) = request.into_parts();
         // A body that breaks off is no request.
         let whole = body.collect().await.is_ok();
-        self.until_reached().await;
         let header =
             |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
         let Some(id) = header("request-id").filter(|_| whole) else {
@@ -183,28 +192,39 @@
         self.attempts.set(self.attempts.get() + 1);
         let key = header("idempotency-key").map(|key| granitelead_decisions::hash(&key));
         let now = self.now();
+        // Fresh ids, 16 hex digits; any other is nobody's try.
+        let number = u64::from_str_radix(&id, 16).unwrap_or(0);
+        let sees = |ran| self.history.sees(Seen::Reached { id: number, server: self.uid.clone(), ran });
         let repeat = key.is_some_and(|key| process.model.borrow_mut().drops_repeat(now, key, KEY_FOR));
         if !repeat {
-            *self.ran.borrow_mut().entry(id).or_default() += 1;
             process.next.set(process.next.get() + 1);
-            let number = process.next.get();
+            let job = process.next.get();
             let (done, wait) = oneshot::channel();
-            process.waits.borrow_mut().insert(number, done);
-            let taken = process.model.borrow_mut().take(now, number, work);
+            process.waits.borrow_mut().insert(job, done);
+            let taken = process.model.borrow_mut().take(now, job, work);
+            sees(taken == Taken::Yes);
             if taken != Taken::Yes {
-                process.waits.borrow_mut().remove(&number);
+                process.waits.borrow_mut().remove(&job);
+                if taken == Taken::FallsOver {
+                    self.history.sees(Seen::Fell { server: self.uid.clone() });
+                    self.dies();
+                }
                 let mut full = plain(StatusCode::SERVICE_UNAVAILABLE, "full");
                 full.headers_mut().insert("not-started", hyper::header::HeaderValue::from_static("1"));
                 return Ok(full);
             }
-            let mut here = Here { process: &process, number: Some(number) };
+            let mut here = Here { process: &process, number: Some(job) };
             process.wakes.notify_one();
+            if self.failing.get() && job % FAILING.1 < FAILING.0 {
+                return Ok(plain(StatusCode::INTERNAL_SERVER_ERROR, "error"));
+            }
             // The sender goes with the process only, and this with it.
             let _ = wait.await;
             here.number = None;
+        } else {
+            sees(true);
         }
-        self.until_reached().await;
-        let mut served = plain(StatusCode::OK, "served\n");
+        let mut served = Response::new(Full::new(Bytes::from(format!("served {id}\n"))));
         if let Ok(units) = units.to_string().parse() {
             served.headers_mut().insert("x-cost-units", units);
         }
@@ -226,15 +246,11 @@
         let socket = tokio::net::TcpSocket::new_v4().map_err(bad)?;
         socket.set_reuseaddr(true).map_err(bad)?;
         socket.bind(self.at).map_err(bad)?;
+        self.boot_ms.set(unix_ms());
         let started = Some(self.now());
         self.begin(socket.listen(1_024).map_err(bad)?, started);
         Ok(())
     }
-
-    /// Cuts it off, or ends that.
-    pub fn set_cut(&self, cut: bool) {
-        self.cut.send_replace(cut);
-    }
 }
 
 /// A request in hand, whose work stops when its connection ends.
@@ -258,3 +274,8 @@
     *response.status_mut() = status;
     response
 }
+
+/// Unix time, ms.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,14 +2,16 @@
 
 use clap::{Parser, Subcommand};
 use granitelead_lab::compare::{paired, table};
-use granitelead_lab::experiment::Experiment;
+use granitelead_lab::experiment::{Experiment, Mode};
 use granitelead_lab::loopback::demo::demo;
-use granitelead_lab::loopback::gatekeeper::{be, WORD};
+use granitelead_lab::loopback::process::{be, WORD};
+use granitelead_lab::play::{doubles, fleet, name_of, random, Options as FleetOptions};
 use granitelead_lab::report::{by_variant, page};
 use granitelead_lab::results::{Run, FIGURES};
 use granitelead_lab::world::{play, real};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use std::error::Error;
+use std::ffi::OsString;
 use std::fs;
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
@@ -37,9 +39,43 @@
         #[arg(long)]
         seconds: Option<f64>,
     },
-    /// Is a gatekeeper of the demo's.
+    /// Is a process of a fleet's.
     #[command(name = WORD, hide = true)]
-    AsGatekeeper,
+    AsChild {
+        /// Whose.
+        parent: i32,
+        /// What it is.
+        words: Vec<OsString>,
+    },
+    /// Plays experiments in real time on a fleet of processes, and judges what was seen.
+    Fleet {
+        /// The experiments.
+        files: Vec<PathBuf>,
+        /// Where results, reports and histories (NAME-SEED.history.jsonl) go.
+        #[arg(long, default_value = "target/lab")]
+        out: PathBuf,
+        /// Seeds in place of the files' own.
+        #[arg(long, value_delimiter = ',')]
+        seeds: Vec<u64>,
+        /// Plays so many drawn schedules; one that breaks a rule is shrunk to the least that still does.
+        #[arg(long)]
+        random: Option<u32>,
+        /// Draws them.
+        #[arg(long, default_value_t = 1, requires = "random")]
+        seed: u64,
+        /// Plays gatekeepers that each do one thing wrong; fails unless all are caught.
+        #[arg(long)]
+        doubles: bool,
+        /// Only these doubles, by name.
+        #[arg(long, value_delimiter = ',', requires = "doubles")]
+        only: Vec<String>,
+        /// Where the built programs lie; the laboratory has them in itself where it is absent.
+        #[arg(long)]
+        programs: Option<PathBuf>,
+        /// Keeps folders and logs of the processes beside the results.
+        #[arg(long)]
+        keep: bool,
+    },
     /// Plays experiments in virtual time: the same seed, the same outcome to the byte.
     Run {
         /// The experiments.
@@ -88,7 +124,15 @@
 
 fn main() -> ExitCode {
     let done = match Options::parse().what {
-        What::AsGatekeeper => return be(),
+        What::AsChild { parent, words } => return be(parent, &words),
+        What::Fleet { files, out, seeds, random: n, seed, doubles: all, only, programs, keep } => {
+            let options = FleetOptions { out, seeds, programs, keep };
+            match (all, n) {
+                (true, _) => doubles(&only, &options),
+                (_, Some(n)) => random(n, seed, &options),
+                _ => fleet(&files, &options),
+            }
+        }
         What::Demo { out, seconds } => {
             demo(&out, seconds).map(|report| println!("{}", report.display())).map_err(Failure::from)
         }
@@ -106,14 +150,12 @@
     }
 }
 
-fn name_of(file: &Path) -> String {
-    file.file_stem().map_or("experiment".into(), |name| name.to_string_lossy().into_owned())
-}
-
 fn check(files: &[PathBuf]) -> Result<(), Failure> {
     let mut bad = 0;
     for file in files {
-        match Experiment::read(file) {
+        let either =
+            Experiment::read(file, Mode::VirtualTime).or_else(|_| Experiment::read(file, Mode::Processes));
+        match either {
             Ok(it) => println!("{}: {}", file.display(), it.ask),
             Err(error) => {
                 bad += 1;
@@ -131,7 +173,7 @@
     // All that can be wrong with a file is said before any is played.
     let mut experiments = Vec::new();
     for file in files {
-        let mut experiment = Experiment::read(file)?;
+        let mut experiment = Experiment::read(file, Mode::VirtualTime)?;
         if !seeds.is_empty() {
             experiment.seeds = seeds.to_vec();
         }
--- a/crates/lab/src/model/traffic.rs
+++ b/crates/lab/src/model/traffic.rs
@@ -201,6 +201,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::experiment::Mode;
     use rand::SeedableRng;
     use std::path::Path;
 
@@ -209,7 +210,7 @@
     #[test]
     fn traffic_is_what_the_experiment_says() {
         let text = "ask = 'x'\nseconds = 10\n[traffic]\nload = 0.5\nheavy = [0.0, 2.0]\n";
-        let experiment = Experiment::parse(text, Path::new("x")).unwrap();
+        let experiment = Experiment::parse(text, Path::new("x"), Mode::VirtualTime).unwrap();
         for seed in 0..5 {
             let mut rng = ChaCha8Rng::seed_from_u64(seed);
             let traffic = Traffic::draw(&experiment, 30, &mut rng, &mut ChaCha8Rng::seed_from_u64(seed));
--- a/crates/lab/src/oracle.rs
+++ b/crates/lab/src/oracle.rs
@@ -26,6 +26,12 @@
     OrderlyFailBack,
     /// No ceiling is passed.
     Ceiling,
+    /// No gatekeeper ends unless it is told to; on processes only.
+    NoCrash,
+    /// Once faults are over, each gatekeeper serves; on processes only.
+    ServiceReturns,
+    /// Once faults are over, all have been told the same list; on processes only.
+    ListAgrees,
 }
 
 /// A breach of a rule.
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -108,6 +108,8 @@
         bars => latency_plot(first)?,
         inflight => inflight_plot(first)?,
         sends => sends_plot(first)?,
+        processes => processes_plot(first)?,
+        undecided => runs.iter().flat_map(|run| run.undecided.clone()).take(20).collect::<Vec<_>>(),
     })?)
 }
 
@@ -251,6 +253,52 @@
     })
 }
 
+/// A row for each process over the seconds of a run, with what it was when it was not well; none without processes.
+fn processes_plot(run: &Run) -> Result<Option<String>, ReportError> {
+    let rows = &run.processes;
+    if rows.is_empty() {
+        return Ok(None);
+    }
+    let words: std::collections::BTreeSet<&str> =
+        rows.iter().flat_map(|row| row.states.iter().map(|(_, _, what)| what.as_str())).collect();
+    let seconds = run.seconds.len().max(1) as f64;
+    let text = drawn(|area| {
+        let mut chart = ChartBuilder::on(area)
+            .margin(8)
+            .x_label_area_size(34)
+            .y_label_area_size(96)
+            .build_cartesian_2d(0.0..seconds, 0.0..rows.len() as f64)
+            .map_err(plot_error)?;
+        let name = |at: &f64| {
+            let middle = (at.fract() - 0.5).abs() < 0.01 || rows.len() > 12;
+            rows.get(*at as usize).filter(|_| middle).map_or(String::new(), |row| row.name.clone())
+        };
+        let mesh = &mut chart.configure_mesh();
+        mesh.x_desc("s").disable_y_mesh().y_labels(2 * rows.len().clamp(1, 12)).y_label_formatter(&name);
+        mesh.light_line_style(WHITE).draw().map_err(plot_error)?;
+        let bar = |n: usize, from: f64, until: f64, color: RGBColor| {
+            let (from, until) = (from.clamp(0.0, seconds), until.clamp(0.0, seconds));
+            Rectangle::new([(from, n as f64 + 0.2), (until, n as f64 + 0.8)], color.filled())
+        };
+        let alive = (0..rows.len()).map(|n| bar(n, 0.0, seconds, RGBColor(214, 232, 214)));
+        chart.draw_series(alive).map_err(plot_error)?;
+        for (number, word) in words.iter().enumerate() {
+            let of = rows.iter().enumerate().flat_map(|(n, row)| {
+                let states = row.states.iter().filter(|(_, _, what)| what == word);
+                states.map(move |(from, until, _)| bar(n, *from, *until, color(number + 1)))
+            });
+            let drawn = chart.draw_series(of).map_err(plot_error)?;
+            let color = color(number + 1);
+            drawn
+                .label(*word)
+                .legend(move |(x, y)| Rectangle::new([(x, y - 4), (x + 14, y + 4)], color.filled()));
+        }
+        let labels = &mut chart.configure_series_labels();
+        labels.background_style(WHITE.mix(0.8)).draw().map_err(plot_error)
+    })?;
+    Ok(Some(text))
+}
+
 fn latency_plot(run: &Run) -> Result<String, ReportError> {
     let of = run.latencies.iter().enumerate().flat_map(|(n, it)| {
         let all = [("p50", it.p50), ("p90", it.p90), ("p99", it.p99)];
--- a/crates/lab/src/results.rs
+++ b/crates/lab/src/results.rs
@@ -1,6 +1,6 @@
 //! What a run has shown: counts, worth, latencies from when a request was due, by second, class, plan, zone and server.
 
-use crate::experiment::Experiment;
+use crate::experiment::{Experiment, Fault};
 use crate::oracle::{Breach, Rule};
 use granitelead_decisions::Micros;
 use hdrhistogram::Histogram;
@@ -98,6 +98,13 @@
     pub what: String,
 }
 
+impl Mark {
+    /// Where a fault of an experiment stands.
+    pub fn of(fault: &Fault) -> Mark {
+        Mark { from: fault.at.0, until: fault.at.0 + fault.lasts.0, what: fault.kind.words() }
+    }
+}
+
 /// A server's part.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct ServerRow {
@@ -111,6 +118,15 @@
     pub inflight: Vec<u32>,
 }
 
+/// What a process was when; alive where nothing is said.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct ProcessRow {
+    /// Its name.
+    pub name: String,
+    /// From when to when, s, and what.
+    pub states: Vec<(f64, f64, String)>,
+}
+
 /// One run of one variant.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Run {
@@ -156,6 +172,12 @@
     pub broken: BTreeMap<Rule, u64>,
     /// The first breaches.
     pub breaches: Vec<Breach>,
+    /// What could not be decided; on processes only.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub undecided: Vec<String>,
+    /// Gatekeepers' processes; on processes only.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub processes: Vec<ProcessRow>,
 }
 
 /// A figure of a run, for comparing.
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -64,12 +64,7 @@
     pub(super) fn fault_begins(&mut self, number: usize) {
         let fault = self.fault(number).clone();
         let (share, lasts) = (fault.share.0, fault.lasts.micros());
-        let from = (self.now - START) as f64 / 1e6;
-        let until = from + fault.lasts.0;
-        // As the file has it.
-        let kind = serde_json::to_value(fault.kind).ok();
-        let what = kind.as_ref().and_then(|kind| kind.as_str()).unwrap_or_default().replace('_', " ");
-        self.gatherer.run().marks.push(Mark { from, until, what });
+        self.gatherer.run().marks.push(Mark::of(&fault));
         self.queue.push(self.now + lasts, Next::FaultEnds(number));
         let servers = match fault.kind {
             FaultKind::ZoneLost => {
@@ -122,6 +117,8 @@
                 self.wrong.surges.push(surge);
             }
             FaultKind::OneOffs => self.wrong.one_offs += share,
+            // Refused where the file was read.
+            kind => debug_assert!(kind.needs_processes()),
         }
         self.wrong.about.insert(number, servers);
     }
@@ -156,6 +153,7 @@
                 }
             }
             FaultKind::OneOffs => self.wrong.one_offs = (self.wrong.one_offs - fault.share.0).max(0.0),
+            kind => debug_assert!(kind.needs_processes()),
         }
     }
 
--- a/crates/lab/tests/demo.rs
+++ b/crates/lab/tests/demo.rs
@@ -30,7 +30,9 @@
         let mut lines = BufReader::new(self.child.stdout.as_mut().unwrap());
         assert!(lines.read_line(&mut line).unwrap() > 0 && line.contains("answered"), "{line}");
         let gatekeepers = children(self.child.id());
-        assert_eq!(gatekeepers.len(), 3);
+        // The list service is the fourth.
+        assert_eq!(gatekeepers.len(), 4);
+        assert!(words(gatekeepers[0]).contains("list-service"));
         gatekeepers
     }
 
@@ -62,14 +64,18 @@
     };
     let all = std::fs::read_dir("/proc").unwrap().flatten();
     let pids = all.filter_map(|entry| entry.file_name().to_str()?.parse().ok());
-    pids.filter(|pid| parent(pid) == Some(of)).collect()
+    let mut all: Vec<u32> = pids.filter(|pid| parent(pid) == Some(of)).collect();
+    all.sort_unstable();
+    all
+}
+
+fn words(pid: u32) -> String {
+    std::fs::read_to_string(format!("/proc/{pid}/cmdline")).unwrap_or_default()
 }
 
 fn none_is_left(gatekeepers: &[u32]) {
-    let runs = |pid: &u32| {
-        let line = std::fs::read_to_string(format!("/proc/{pid}/cmdline")).unwrap_or_default();
-        line.contains("as-gatekeeper") && Path::new(&format!("/proc/{pid}/exe")).exists()
-    };
+    let runs =
+        |pid: &u32| words(*pid).contains("as-child") && Path::new(&format!("/proc/{pid}/exe")).exists();
     let until = Instant::now() + PATIENCE;
     while gatekeepers.iter().any(&runs) {
         assert!(Instant::now() < until, "gatekeepers are left");
@@ -105,7 +111,7 @@
 fn a_gatekeeper_that_dies_ends_it_with_a_line_that_says_so() {
     let mut demo = Demo::start("dies", 30);
     let gatekeepers = demo.until_it_serves();
-    demo.signal(gatekeepers[0], "-KILL");
+    demo.signal(gatekeepers[1], "-KILL");
     let (status, said) = demo.end();
     assert_eq!(status, Some(1), "{said}");
     assert!(said.contains("gatekeeper") && said.contains("has ended"), "{said}");
--- a/crates/lab/tests/generator.rs
+++ b/crates/lab/tests/generator.rs
@@ -1,7 +1,7 @@
 //! What the generator itself sustains, so that a gatekeeper's figures are not the generator's. Measures, and is not part
 //! of the suite: `cargo test --release -p granitelead-lab --test generator -- --ignored --nocapture`
 
-use granitelead_lab::experiment::Experiment;
+use granitelead_lab::experiment::{Experiment, Mode};
 use granitelead_lab::loopback::clients::Clients;
 use granitelead_lab::results::{Gatherer, Row, Run};
 use http_body_util::{BodyExt, Full};
@@ -13,6 +13,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::task::{spawn_local, LocalSet};
 
@@ -49,11 +50,11 @@
         let text = format!(
             "ask = 'x'\nseconds = 3\n[fleet]\ngatekeepers = 1\n[traffic]\nload = {load}\nheavy = [0.0, 1.0]\n"
         );
-        let experiment = Experiment::parse(&text, Path::new("x")).unwrap();
+        let experiment = Experiment::parse(&text, Path::new("x"), Mode::VirtualTime).unwrap();
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let run = LocalSet::new().block_on(&runtime, async {
             let run = Run { classes: vec![Row::of("check"), Row::of("transfer")], ..Run::default() };
-            let clients = Clients::new(experiment, vec![at], 1, Gatherer::new(0, 3, run));
+            let clients = Clients::new(experiment, vec![at], 1, Gatherer::new(0, 3, run), Rc::default());
             clients.clone().ask(1).await;
             let took = clients.elapsed().as_secs_f64();
             let run = clients.gatherer.replace(Gatherer::new(0, 0, Run::default())).finish();
--- a/crates/lab/tests/world.rs
+++ b/crates/lab/tests/world.rs
@@ -2,7 +2,7 @@
 //! breaks a rule, while it finds nothing wrong with the real decisions.
 
 use granitelead_decisions::*;
-use granitelead_lab::experiment::Experiment;
+use granitelead_lab::experiment::{Experiment, Mode};
 use granitelead_lab::oracle::Rule;
 use granitelead_lab::report::page;
 use granitelead_lab::results::Run;
@@ -38,7 +38,7 @@
         effect = 'at_most_once'
         "
     );
-    Experiment::parse(&text, Path::new("small.toml")).unwrap()
+    Experiment::parse(&text, Path::new("small.toml"), Mode::VirtualTime).unwrap()
 }
 
 fn play_one(experiment: &Experiment, make: Make) -> Run {
@@ -218,21 +218,25 @@
     assert_eq!(run.marks.len(), 1);
 }
 
-fn library() -> Vec<PathBuf> {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../experiments");
-    let mut files: Vec<PathBuf> =
-        std::fs::read_dir(folder).unwrap().map(|file| file.unwrap().path()).collect();
+fn library(folder: &str) -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join(folder);
+    let all = std::fs::read_dir(folder).unwrap().map(|file| file.unwrap().path());
+    let mut files: Vec<PathBuf> = all.filter(|path| path.is_file()).collect();
     files.sort();
     files
 }
 
 #[test]
 fn every_experiment_of_the_library_is_proper_and_asks_something() {
-    let files = library();
-    assert!(files.len() >= 10);
-    for file in files {
-        let it = Experiment::read(&file).unwrap_or_else(|error| panic!("{error}"));
-        assert!(it.ask.ends_with('?') && it.ask.len() > 20, "{}: {}", file.display(), it.ask);
+    for (folder, mode) in
+        [("../../experiments", Mode::VirtualTime), ("../../experiments/fleet", Mode::Processes)]
+    {
+        let files = library(folder);
+        assert!(files.len() >= 10);
+        for file in files {
+            let it = Experiment::read(&file, mode).unwrap_or_else(|error| panic!("{error}"));
+            assert!(it.ask.ends_with('?') && it.ask.len() > 20, "{}: {}", file.display(), it.ask);
+        }
     }
 }
 
--- a/crates/list-service/src/lib.rs
+++ b/crates/list-service/src/lib.rs
@@ -15,6 +15,7 @@
 use lexopt::{Arg, Parser, ValueExt};
 use registry::Registry;
 use service::{unix_ms, Service};
+use std::ffi::OsString;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -143,6 +144,11 @@
     granitelead_base::run("granitelead-discovery", || Options::read(Parser::from_env()), serve)
 }
 
+/// Runs it as these words say, in place of the command line's.
+pub fn run_with(words: impl IntoIterator<Item = OsString>) -> ExitCode {
+    granitelead_base::run("granitelead-discovery", || Options::read(Parser::from_args(words)), serve)
+}
+
 async fn serve(options: Option<Options>) -> Result<(), ServeError> {
     let Some(options) = options else {
         println!("{USAGE}");
