Find out an older copy of the list service's folder, and begin a new list instead of telling nobody

Had the list changed more often, versions would have been told twice with different lists.

Ruled out: the gatekeepers' client, which asked on; the order of restart and registrations. Lines at fault: http.rs, the check of `index` against the newest version; lib.rs, `open`, which goes on from the copy's version.

A process's first own change leaps to the clock in ms; a watcher that names a version which the process neither began with nor told shows that the copy is old: lists settle while servers register anew, and a new epoch begins, once in a life of the process.

--- a/crates/list-service/src/http.rs
+++ b/crates/list-service/src/http.rs
@@ -207,7 +207,10 @@
             return Ok(answer);
         }
         let epoch = asked.epoch.unwrap_or(at.epoch);
-        if epoch == at.epoch && asked.index > at.rev {
+        if !service.knows(Position { epoch, rev: asked.index }) {
+            if asked.epoch.is_some() {
+                service.was_told(Position { epoch, rev: asked.index });
+            }
             return Err(Wrong::IndexAhead);
         }
         let place = take(&service.counts.watches, self.watches_max)?;
--- a/crates/list-service/src/lib.rs
+++ b/crates/list-service/src/lib.rs
@@ -134,7 +134,7 @@
         if !(least..=most).contains(&connections) {
             return Err(OptionError::Connections(least, most));
         }
-        let settle = Duration::from_millis(if new { 0 } else { settle_ms });
+        let settle = Duration::from_millis(settle_ms);
         Ok(Some(Options { listen, from, settle, guard_ms, connections, new }))
     }
 }
@@ -185,7 +185,7 @@
 
 fn open(folder: &std::path::Path, options: &Options) -> std::io::Result<(Rc<Service>, Store)> {
     let (mut kept, lock) = Store::read(folder)?;
-    let mut settle = Duration::ZERO;
+    let mut lost = false;
     let epoch = match kept.epoch.filter(|_| kept.damage.is_none()) {
         Some(epoch) => epoch,
         None => {
@@ -197,8 +197,8 @@
                 eprintln!("granitelead-discovery: {what}; {} leases kept", kept.leases.len());
             }
             if !options.new {
-                settle = options.settle;
-                let ms = settle.as_millis();
+                lost = true;
+                let ms = options.settle.as_millis();
                 eprintln!("granitelead-discovery: a new list begins; it is told in {ms} ms");
             }
             epoch
@@ -206,10 +206,14 @@
     };
     let leases: Vec<_> = kept.leases.values().cloned().collect();
     let at = Position { epoch, rev: kept.rev };
-    let registry = Registry::new((kept.rev, kept.lease), leases.iter().cloned(), options.guard_ms, 0);
+    // Whatever was told in this line before came slower than one change in a ms, so no version is ever told twice, also
+    // where this folder is an older copy.
+    let first = unix_ms().max(kept.rev + 1);
+    let mut registry = Registry::new((kept.rev, kept.lease), leases.iter().cloned(), options.guard_ms, 0);
     eprintln!("granitelead-discovery: epoch {epoch}, rev {}, {} leases", kept.rev, leases.len());
-    let store = Store::begin(folder, lock, kept, epoch, LOG_MAX)?;
-    Ok((Service::writer(registry, at, &leases, settle), store))
+    registry.leaps_to(first);
+    let store = Store::begin(folder, lock, kept, (epoch, first), LOG_MAX)?;
+    Ok((Service::writer(registry, (at, first), &leases, options.settle, lost), store))
 }
 
 fn mirror(at: SocketAddr) -> Rc<Service> {
--- a/crates/list-service/src/registry.rs
+++ b/crates/list-service/src/registry.rs
@@ -93,6 +93,8 @@
 /// All leases.
 pub struct Registry {
     rev: u64,
+    /// The next change is of this version at the least.
+    least: u64,
     next_lease: u64,
     leases: BTreeMap<String, Lease>,
     /// When leases have lapsed, lately.
@@ -118,6 +120,7 @@
         };
         Registry {
             rev,
+            least: 0,
             next_lease,
             leases: kept.into_iter().map(lease).collect(),
             lapses: VecDeque::new(),
@@ -128,6 +131,22 @@
         }
     }
 
+    /// The next change is of that version or a later one, whatever the last one was.
+    pub fn leaps_to(&mut self, least: u64) {
+        self.least = least;
+    }
+
+    fn next_rev(&self) -> u64 {
+        self.least.max(self.rev + 1)
+    }
+
+    /// Versions and leases go on from these, or from where they are if that is later; gives the next lease's number.
+    pub fn go_on_from(&mut self, rev: u64, lease: u64) -> u64 {
+        self.rev = self.rev.max(rev);
+        self.next_lease = self.next_lease.max(lease);
+        self.next_lease
+    }
+
     /// The newest version and lease number.
     #[cfg(test)]
     pub fn at(&self) -> (u64, u64) {
@@ -189,7 +208,7 @@
             self.next_lease += 1;
             self.next_lease
         });
-        self.rev += 1;
+        self.rev = self.next_rev();
         let lease = Lease { number, ttl_ms: call.ttl_ms, renewed: now, target, rev: self.rev };
         let (told, record) = (lease.told(), record(&lease));
         self.leases.insert(lease.target.uid.clone(), lease);
@@ -205,7 +224,7 @@
 
     /// The holder finishes what it has and wants nothing new.
     pub fn drain(&mut self, now: u64, call: &OnLease) -> Result<(Leased, Option<Record>), Refusal> {
-        let next = self.rev + 1;
+        let next = self.next_rev();
         let lease = self.held(call)?.ok_or(Refusal::UnknownLease)?;
         lease.renewed = now;
         if !lease.target.is_up() {
@@ -234,7 +253,7 @@
 
     fn remove(&mut self, uid: &str) -> Option<Record> {
         let mut lease = self.leases.remove(uid)?;
-        self.rev += 1;
+        self.rev = self.next_rev();
         (lease.rev, lease.target.state) = (self.rev, "removed".into());
         Some(record(&lease))
     }
--- a/crates/list-service/src/service.rs
+++ b/crates/list-service/src/service.rs
@@ -80,6 +80,17 @@
     Mirrored(Rc<Listing>),
 }
 
+/// Whether the folder has turned out to be an older copy.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Older {
+    /// Nobody knows better.
+    No,
+    /// Somebody was told a later version, which was this one.
+    Shown(u64),
+    /// A new line of versions has begun because of that.
+    Left,
+}
+
 /// All of it but the sockets.
 pub struct Service {
     source: Source,
@@ -90,26 +101,41 @@
     failing: Cell<bool>,
     told: watch::Sender<Position>,
     begun: Instant,
-    settles: Duration,
+    /// Lists are told from so long after that on.
+    settles: Cell<Duration>,
+    /// How long servers get to register anew where the list was lost.
+    settle: Duration,
+    older: Cell<Older>,
+    /// Versions between these were never told by this process: the one that it began with, and its first own one.
+    unknown: (u64, u64),
     /// What has been done.
     pub counts: Counts,
     odd: Cell<u64>,
 }
 
 impl Service {
-    /// The one that servers register in; lists are told once it has settled.
-    pub fn writer(registry: Registry, at: Position, list: &[Record], settles: Duration) -> Rc<Service> {
+    /// The one that servers register in, which begins with a version and makes its own from `first` on. Lists are told
+    /// once it has settled, at once where they were not `lost`.
+    pub fn writer(
+        registry: Registry,
+        (at, first): (Position, u64),
+        list: &[Record],
+        settle: Duration,
+        lost: bool,
+    ) -> Rc<Service> {
         let board = Board::new(at, list.iter().map(|record| record.target.clone()), false, RING);
-        Service::new(Source::Leases(RefCell::new(registry)), board, settles)
+        let it = Service::new(Source::Leases(RefCell::new(registry)), board, settle, (at.rev, first));
+        it.settles.set(if lost { settle } else { Duration::ZERO });
+        it
     }
 
     /// One that tells what another tells.
     pub fn mirror(listing: Rc<Listing>) -> Rc<Service> {
         let board = Board::new(Position { epoch: 0, rev: 0 }, [], true, RING);
-        Service::new(Source::Mirrored(listing), board, Duration::ZERO)
+        Service::new(Source::Mirrored(listing), board, Duration::ZERO, (0, 0))
     }
 
-    fn new(source: Source, board: Board, settles: Duration) -> Rc<Service> {
+    fn new(source: Source, board: Board, settle: Duration, unknown: (u64, u64)) -> Rc<Service> {
         let told = watch::Sender::new(board.at());
         Rc::new(Service {
             source,
@@ -119,7 +145,10 @@
             failing: Cell::default(),
             told,
             begun: Instant::now(),
-            settles,
+            settles: Cell::new(Duration::ZERO),
+            settle,
+            older: Cell::new(Older::No),
+            unknown,
             counts: Counts::default(),
             odd: Cell::new(0),
         })
@@ -184,12 +213,68 @@
         self.wakes.notify_one();
     }
 
+    /// Whether a version that somebody was told can be gone on from.
+    pub fn knows(&self, it: Position) -> bool {
+        let at = self.at();
+        // Another epoch gets the whole list.
+        let never_told = it.rev > self.unknown.0 && it.rev < self.unknown.1;
+        it.epoch != at.epoch || it.rev <= at.rev && !never_told
+    }
+
+    /// Somebody was told a version of this line that this process doesn't know: the folder was an older copy, and what
+    /// came after it is lost. Servers get the time to register anew, and then another line of versions begins, once in a
+    /// life of the process, so that whoever makes such a version up gains nothing by doing it again.
+    pub fn was_told(&self, it: Position) {
+        let at = self.at();
+        if self.older.get() == Older::No && self.registry().is_ok() {
+            let ms = self.settle.as_millis();
+            eprintln!(
+                "granitelead-discovery: an older copy: version {} was told, this list is at {}; a new one begins, \
+                 told in {ms} ms",
+                it.rev, at.rev
+            );
+            self.settles.set(self.begun.elapsed() + self.settle);
+            self.older.set(Older::Shown(it.rev));
+            self.wakes.notify_one();
+        }
+    }
+
+    /// Another line of versions begins, with the servers that are listed.
+    async fn begin_anew(&self, mut store: Store, told: u64) -> Result<Store, JoinError> {
+        self.older.set(Older::Left);
+        let Ok(registry) = self.registry() else { return Ok(store) };
+        let (now, before) = (unix_ms(), self.at().epoch);
+        let at = Position { epoch: now.max(before + 1), rev: now.max(told + 1) };
+        // What changes from here on is of the new line, and waits until it has begun.
+        let lease = registry.borrow_mut().go_on_from(at.rev, now);
+        loop {
+            let wrote = tokio::task::spawn_blocking(move || {
+                let wrote = store.begin_anew(at.epoch, at.rev, lease);
+                (store, wrote)
+            });
+            let (back, wrote) = wrote.await?;
+            store = back;
+            self.failing.set(wrote.is_err());
+            let Err(e) = wrote else { break };
+            note(&self.odd, format_args!("no new list begins: {e}"));
+            tokio::time::sleep(DISK_PAUSE).await;
+        }
+        let mut board = self.board.borrow_mut();
+        let listed: Vec<_> = board.listed().cloned().collect();
+        *board = Board::new(at, listed, false, RING);
+        self.told.send_replace(at);
+        Ok(store)
+    }
+
     /// Brings changes to the disk and then to the board, for ever: all that wait at once.
     pub async fn keep_changes(self: Rc<Self>, mut store: Store) -> Result<(), JoinError> {
         loop {
             let batch = Arc::new(self.pending.take());
             if batch.is_empty() {
-                self.wakes.notified().await;
+                match self.older.get() {
+                    Older::Shown(told) => store = self.begin_anew(store, told).await?,
+                    _ => self.wakes.notified().await,
+                }
                 continue;
             }
             loop {
@@ -263,7 +348,7 @@
     pub fn tells(&self) -> Result<(), Denied> {
         let epoch = self.board.borrow().at().epoch;
         match &self.source {
-            Source::Leases(_) if self.begun.elapsed() < self.settles => Err(Denied::Settling),
+            Source::Leases(_) if self.begun.elapsed() < self.settles.get() => Err(Denied::Settling),
             Source::Mirrored(_) if epoch == 0 => Err(Denied::NoList),
             _ => Ok(()),
         }
--- a/crates/list-service/src/store.rs
+++ b/crates/list-service/src/store.rs
@@ -31,6 +31,9 @@
 #[derive(Serialize, Deserialize)]
 struct LogHead {
     epoch: u64,
+    /// The first change here is of this version, where that is not the one after the snapshot's.
+    #[serde(default)]
+    first: u64,
 }
 
 /// What was found in the folder.
@@ -81,17 +84,18 @@
             kept.damage = Some("the snapshot has more than it should");
         }
         let mut lines = Lines(log);
+        let mut first = 0;
         match lines.read::<LogHead>() {
             // Left from before the snapshot began a new line of versions.
             Some(log) if log.epoch < head.epoch => return kept,
-            Some(log) if log.epoch == head.epoch => {}
+            Some(log) if log.epoch == head.epoch => first = log.first,
             _ => kept.damage = Some("the log has no head"),
         }
         while kept.damage.is_none() && !lines.0.is_empty() {
             match lines.read::<Record>() {
                 // The snapshot has it already.
                 Some(record) if record.rev <= head.rev => {}
-                Some(record) if record.rev == kept.rev + 1 => kept.apply(record),
+                Some(record) if record.rev == first.max(kept.rev + 1) => kept.apply(record),
                 Some(_) => kept.damage = Some("the log lacks a version"),
                 None => kept.damage = Some("the log is cut or corrupt"),
             }
@@ -132,6 +136,7 @@
     length: u64,
     log_max: u64,
     epoch: u64,
+    first: u64,
     kept: Kept,
     _lock: File,
 }
@@ -154,16 +159,29 @@
         Ok((Kept::read(&read(SNAPSHOT)?, &read(LOG)?), lock))
     }
 
-    /// Goes on with a folder that has been read, in an epoch: writes all of it anew.
-    pub fn begin(folder: &Path, lock: File, kept: Kept, epoch: u64, log_max: u64) -> io::Result<Store> {
+    /// Goes on with a folder that has been read, in an epoch, with that version: writes all of it anew.
+    pub fn begin(
+        folder: &Path,
+        lock: File,
+        kept: Kept,
+        (epoch, first): (u64, u64),
+        log_max: u64,
+    ) -> io::Result<Store> {
         // No file is there yet to write to.
         let log = lock.try_clone()?;
         let folder = folder.to_owned();
-        let mut store = Store { folder, log, length: 0, log_max, epoch, kept, _lock: lock };
+        let mut store = Store { folder, log, length: 0, log_max, epoch, first, kept, _lock: lock };
         store.compact()?;
         Ok(store)
     }
 
+    /// Begins another line of versions with what is kept: all of it is written anew. After an error it is to be called
+    /// again.
+    pub fn begin_anew(&mut self, epoch: u64, rev: u64, lease: u64) -> io::Result<()> {
+        (self.epoch, self.kept.rev, self.kept.lease) = (epoch, rev, lease);
+        self.compact()
+    }
+
     /// Keeps changes: they are on the disk when this returns. After an error nothing of them is.
     pub fn append(&mut self, records: &[Record]) -> io::Result<()> {
         if self.length > self.log_max {
@@ -194,7 +212,7 @@
         }
         self.replace(SNAPSHOT, &text)?;
         text.clear();
-        write_line(&mut text, &LogHead { epoch: self.epoch })?;
+        write_line(&mut text, &LogHead { epoch: self.epoch, first: self.first })?;
         self.log = self.replace(LOG, &text)?;
         self.length = text.len() as u64;
         Ok(())
@@ -248,7 +266,7 @@
     fn begin(folder: &Folder, epoch: u64, log_max: u64) -> Store {
         let (kept, lock) = Store::read(&folder.0).unwrap();
         assert_eq!(kept.damage, None);
-        Store::begin(&folder.0, lock, kept, epoch, log_max).unwrap()
+        Store::begin(&folder.0, lock, kept, (epoch, 0), log_max).unwrap()
     }
 
     /// Changes of a small fleet: starts, drains and ends.
@@ -351,11 +369,25 @@
         drop(store);
         let (kept, lock) = Store::read(&folder.0).unwrap();
         let kept = Kept { rev: 900, ..kept };
-        drop(Store::begin(&folder.0, lock, kept, 8, LOG_MAX).unwrap());
+        drop(Store::begin(&folder.0, lock, kept, (8, 0), LOG_MAX).unwrap());
         let kept = Kept::read(&folder.file(SNAPSHOT), &log);
         assert_eq!((kept.epoch, kept.rev, kept.damage), (Some(8), 900, None));
     }
 
+    #[test]
+    fn a_log_begins_at_the_version_that_its_head_names_and_lacks_none_from_there_on() {
+        let folder = Folder::new("leaps");
+        drop(begin(&folder, 7, LOG_MAX));
+        let (kept, lock) = Store::read(&folder.0).unwrap();
+        let mut store = Store::begin(&folder.0, lock, kept, (7, 900), LOG_MAX).unwrap();
+        store.append(&[record(900, 1, "up"), record(901, 2, "up")]).unwrap();
+        let kept = Kept::read(&folder.file(SNAPSHOT), &folder.file(LOG));
+        assert_eq!((kept.rev, kept.leases.len(), kept.damage), (901, 2, None));
+        store.append(&[record(903, 3, "up")]).unwrap();
+        let kept = Kept::read(&folder.file(SNAPSHOT), &folder.file(LOG));
+        assert_eq!((kept.rev, kept.damage), (901, Some("the log lacks a version")));
+    }
+
     #[test]
     fn what_could_not_be_written_hides_nothing_that_is_written_later() {
         let folder = Folder::new("fails");
