--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -163,6 +163,11 @@
         /// For how long, µs.
         micros: u64,
     },
+    /// The rig could not do what the schedule says.
+    Failed {
+        /// What, and why not.
+        what: String,
+    },
     /// Clients stopped asking.
     Over,
 }
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -190,6 +190,11 @@
     if dropped > 0 {
         verdict.undecided.push(format!("{dropped} events had no room"));
     }
+    for event in history {
+        if let Seen::Failed { what } = &event.what {
+            verdict.undecided.push(format!("the rig: {what}"));
+        }
+    }
     safety(history, terms, &excuses, &mut verdict);
     in_the_end(history, terms, &excuses, &mut verdict);
     verdict
@@ -384,3 +389,156 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: u64 = 1_000_000;
+
+    /// Its name, what was seen when, the rules that it breaks, and whether it leaves something open.
+    type Story<'a> = (&'a str, Vec<(u64, Seen)>, &'a [Rule], bool);
+
+    fn terms() -> Terms {
+        let classes =
+            vec![(Effect::Idempotent, 4 * S), (Effect::Deduplicated, 4 * S), (Effect::AtMostOnce, S)];
+        let ceiling = Ceiling { rate: 1.0, burst: 3.0, slack: 1.0 };
+        Terms { classes, ceilings: vec![None, Some(ceiling)], gatekeepers: 2, settles: 5 * S }
+    }
+
+    fn asked(id: u64, class: usize, plan: usize) -> Seen {
+        Seen::Asked { id, gatekeeper: 0, customer: 7, class, plan, units: 1.0, patience: 2 * S }
+    }
+
+    fn reached(id: u64, server: &str, ran: bool) -> Seen {
+        Seen::Reached { id, server: server.into(), ran }
+    }
+
+    fn told(gatekeeper: usize, rev: u64, all: bool, servers: &[(&str, bool)]) -> Seen {
+        let servers = servers.iter().map(|(uid, open)| ((*uid).to_owned(), *open)).collect();
+        Seen::Told { gatekeeper, rev, all, servers }
+    }
+
+    fn hindered(what: Hindrance) -> Seen {
+        Seen::Hindered { gatekeeper: 0, what, by: 0 }
+    }
+
+    fn verdict(story: &[(u64, Seen)]) -> (Vec<Rule>, bool) {
+        let mut history: Vec<Event> =
+            story.iter().map(|(at, what)| Event { at: *at, what: what.clone() }).collect();
+        history.push(Event { at: 60 * S, what: Seen::Over });
+        let verdict = judge(&history, 0, &terms());
+        (verdict.counts.into_keys().collect(), !verdict.undecided.is_empty())
+    }
+
+    /// Each rule by a story that breaks it, and by twins that don't: what excuses, and what leaves it open.
+    #[test]
+    fn a_history_is_judged_by_what_it_leaves_no_doubt_of() {
+        use Hindrance::*;
+        let silence = |id| Seen::Silence { id };
+        let broke = |begun| Seen::Broke { id: 1, begun };
+        let served = |own| Seen::Answered { id: 1, status: 200, own };
+        let ended = |asked| Seen::Ended { gatekeeper: 0, asked, how: String::new() };
+        let held = Seen::Held { micros: S };
+        let drained =
+            [(0, told(0, 1, true, &[("s", true), ("t", true)])), (S, told(0, 2, false, &[("s", false)]))];
+        let gone =
+            [(0, told(0, 1, true, &[("s", true), ("t", true)])), (S, told(0, 2, true, &[("t", true)]))];
+        let sends = |story: &[(u64, Seen)], at| {
+            [story, &[(at, asked(1, 0, 0)), (at, reached(1, "s", true))]].concat()
+        };
+        let units =
+            |n: u64| (0..n).flat_map(|id| [(S, asked(id, 0, 1)), (S, reached(id, "s", true))]).collect();
+        let again = |class, first, at| {
+            vec![(0, asked(1, class, 0)), (0, reached(1, "s", first)), (at, reached(1, "t", true))]
+        };
+        let stories: Vec<Story> = vec![
+            ("served", vec![(0, asked(1, 0, 0)), (S, reached(1, "s", true)), (S, served(true))], &[], false),
+            ("served by nobody", vec![(0, asked(1, 0, 0)), (S, served(true))], &[Rule::NoneLost], false),
+            (
+                "served with other words",
+                vec![(0, asked(1, 0, 0)), (S, reached(1, "s", true)), (S, served(false))],
+                &[Rule::NoneLost],
+                false,
+            ),
+            ("never answered", vec![(0, asked(1, 0, 0)), (4 * S, silence(1))], &[Rule::NoneLost], false),
+            (
+                "never answered by a paused one",
+                vec![(0, asked(1, 0, 0)), (S, hindered(Runs)), (4 * S, silence(1))],
+                &[],
+                false,
+            ),
+            (
+                "never answered, its servers far away",
+                vec![(0, asked(1, 0, 0)), (S, hindered(Sends)), (4 * S, silence(1))],
+                &[Rule::NoneLost],
+                false,
+            ),
+            (
+                "never answered while the rig stood still",
+                vec![(0, asked(1, 0, 0)), (2 * S, held.clone()), (4 * S, silence(1))],
+                &[],
+                true,
+            ),
+            ("broken off unread", vec![(0, asked(1, 0, 0)), (S, broke(false))], &[], false),
+            (
+                "broken off",
+                vec![(0, asked(1, 0, 0)), (S, reached(1, "s", true)), (S, broke(false))],
+                &[Rule::NoneLost],
+                false,
+            ),
+            (
+                "broken off in an answer",
+                vec![(0, asked(1, 0, 0)), (S, reached(1, "s", true)), (S, broke(true))],
+                &[],
+                false,
+            ),
+            (
+                "broken off by its death",
+                vec![
+                    (0, asked(1, 0, 0)),
+                    (S, reached(1, "s", true)),
+                    (S, broke(false)),
+                    (S + 9, ended(true)),
+                ],
+                &[],
+                false,
+            ),
+            ("ended by itself", vec![(S, ended(false))], &[Rule::NoCrash], false),
+            ("sent at once", sends(&drained, 2 * S), &[], false),
+            ("sent to a draining one", sends(&drained, 3 * S), &[Rule::OrderlyDrain], false),
+            ("sent to one that is gone", sends(&gone, 3 * S), &[Rule::OrderlyDrain], false),
+            ("again after the key", again(1, true, 5 * S), &[Rule::NoDuplicate], false),
+            ("again within the key", again(1, true, 4 * S), &[], false),
+            ("again, never run", again(2, false, 5 * S), &[], false),
+            ("again, once only", again(2, true, S), &[Rule::NoDuplicate], false),
+            ("within a ceiling", units(4), &[], false),
+            ("past a ceiling", units(5), &[Rule::Ceiling], false),
+            ("pushed over", vec![(S, Seen::Fell { server: "s".into() })], &[Rule::OrderlyFailBack], false),
+            (
+                "told less than there is",
+                vec![
+                    (S, told(0, 2, true, &[])),
+                    (S, told(1, 1, true, &[])),
+                    (2 * S, Seen::Listed { rev: 2 }),
+                ],
+                &[Rule::ListAgrees],
+                false,
+            ),
+            ("not as the schedule says", vec![(S, Seen::Failed { what: String::new() })], &[], true),
+        ];
+        for (name, story, rules, open) in stories {
+            assert_eq!(verdict(&story), (rules.to_vec(), open), "{name}");
+        }
+        // Enough is asked at the end, and nothing is served.
+        let refused: Vec<(u64, Seen)> = (0..ASKED as u64)
+            .flat_map(|id| {
+                [(20 * S, asked(id, 0, 0)), (20 * S, Seen::Answered { id, status: 503, own: false })]
+            })
+            .collect();
+        assert_eq!(verdict(&refused), (vec![Rule::ServiceReturns], false));
+        assert_eq!(verdict(&refused[2..]), (vec![], false));
+        let cut_off = judge(&[Event { at: 0, what: Seen::Fault { number: 0, begins: true } }], 0, &terms());
+        assert_eq!(cut_off.word(), "not decided");
+    }
+}
--- a/crates/lab/src/loopback/faults.rs
+++ b/crates/lab/src/loopback/faults.rs
@@ -223,7 +223,7 @@
                     let gate = &self.gates[*n];
                     match std::net::TcpListener::bind(gate.at) {
                         Ok(taken) => *gate.port.borrow_mut() = Some(taken),
-                        Err(error) => eprintln!("granitelead-lab: the port of gatekeeper {n}: {error}"),
+                        Err(error) => self.fails(format!("the port of gatekeeper {n}: {error}")),
                     }
                     gate.wanted.set(true);
                 }
@@ -265,7 +265,7 @@
                     sleep(RUNS / 4).await;
                 }
                 if let Err(error) = self.lists[0].borrow().set_folder(fault.folder.unwrap_or(Folder::Kept)) {
-                    eprintln!("granitelead-lab: the folder of the list service: {error}");
+                    self.fails(format!("the folder of the list service: {error}"));
                 }
             }
             PauseList => self.lists[0].borrow().signal(Signal::STOP),
@@ -335,7 +335,7 @@
             KillServers | ZoneLost => {
                 for listed in &about.servers {
                     if let Err(error) = listed.server.returns().await {
-                        eprintln!("granitelead-lab: {}: {error}", listed.server.uid);
+                        self.fails(format!("{}: {error}", listed.server.uid));
                     }
                 }
             }
@@ -359,7 +359,7 @@
             }
             KillList => {
                 if let Err(error) = self.starts_list(0) {
-                    eprintln!("granitelead-lab: the list service: {error}");
+                    self.fails(format!("the list service: {error}"));
                 }
             }
             PauseList => self.lists[0].borrow().signal(Signal::CONT),
@@ -382,7 +382,7 @@
         let _ = self.on_lease(listed, "/discovery/drain").await;
         if replaced {
             if let Err(error) = self.adds_server(listed.server.zone.clone(), false).await {
-                eprintln!("granitelead-lab: a successor of {}: {error}", listed.server.uid);
+                self.fails(format!("a successor of {}: {error}", listed.server.uid));
             }
         }
         sleep(DRAIN).await;
--- a/crates/lab/src/loopback/fleet.rs
+++ b/crates/lab/src/loopback/fleet.rs
@@ -384,7 +384,7 @@
     pub(super) fn reloads(&self, number: usize, mirrors: bool) {
         match self.writes_config(number, mirrors) {
             Ok(()) => self.gates[number].process.borrow().signal(Signal::HUP),
-            Err(error) => eprintln!("granitelead-lab: the file of gatekeeper {number}: {error}"),
+            Err(error) => self.fails(format!("the file of gatekeeper {number}: {error}")),
         }
     }
 
@@ -486,7 +486,7 @@
                 let runs = gate.process.borrow().runs();
                 if !runs && gate.wanted.get() && due {
                     if let Err(error) = self.begins(number) {
-                        eprintln!("granitelead-lab: gatekeeper {number}: {error}");
+                        self.fails(format!("gatekeeper {number}: {error}"));
                     }
                 }
             }
@@ -508,6 +508,11 @@
         }
     }
 
+    /// The rig could not do what the schedule says: the run shows nothing.
+    pub(super) fn fails(&self, what: String) {
+        self.history.sees(Seen::Failed { what });
+    }
+
     /// Waits until a gatekeeper's process is gone.
     pub(super) async fn until_gone(&self, number: usize) {
         while self.gates[number].process.borrow().runs() {
@@ -521,7 +526,7 @@
         gate.process.borrow_mut().kill();
         self.until_gone(number).await;
         if let Err(error) = gate.process.borrow().set_folder(folder) {
-            eprintln!("granitelead-lab: the folder of gatekeeper {number}: {error}");
+            self.fails(format!("the folder of gatekeeper {number}: {error}"));
         }
     }
 
