Test membership at the door, refuse what contradicts, and give each server of the rig its own place

`membership` without peers, with another number of them than `instances`, without `peer_listen` or a name is refused with its field; three gatekeepers know a death, a return and a stranger by their figures. In the rig two servers that were added at the same moment could draw one address; it comes from the party's number now.

--- a/crates/lab/src/loopback/fleet.rs
+++ b/crates/lab/src/loopback/fleet.rs
@@ -402,7 +402,8 @@
     /// Another server stands in that zone, and calls to be listed for as long as it runs.
     pub(super) async fn adds_server(self: &Rc<Self>, zone: String, warm: bool) -> Result<(), FleetError> {
         let party = self.next.replace(self.next.get() + 1);
-        let number = self.servers.borrow().len();
+        // Its own, also where another one is being added at the same time.
+        let number = party - self.counter_party() - 1;
         let uid = format!("s-{}", number + 1);
         let spec = self.experiment.fleet.spec();
         let server =
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -4,6 +4,7 @@
 
 use peers::*;
 use std::io::{Read, Write};
+use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
 const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -270,3 +271,45 @@
     assert!(gatekeeper.call("evacuate").starts_with("YES"));
     assert!(gatekeeper.call("telemetry").contains("app_hosts_listed 1"));
 }
+
+/// Three that tell each other who lives, one without that, and datagrams that are nobody's.
+#[test]
+fn gatekeepers_that_are_told_to_know_who_of_them_lives() {
+    let server = Server::start(ok("served"));
+    let discovery = Discovery::start();
+    discovery.list(2, true, &[server.listed("w0", "up")]);
+    let sockets: Vec<UdpSocket> = (0..3).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+    let peers: Vec<String> = sockets.iter().map(|socket| socket.local_addr().unwrap().to_string()).collect();
+    drop(sockets);
+    let start = |me: usize| {
+        let mut config = config_with_door(discovery.addr);
+        config["peer_listen"] = peers[me].as_str().into();
+        config["peers"] = peers.clone().into();
+        config["membership"] = serde_json::json!({"fleet": "f"});
+        config["settings"]["instances"] = 3.into();
+        config["settings"]["me"] = me.into();
+        Gatekeeper::ready(&config)
+    };
+    let counts = |gatekeeper: &Gatekeeper| {
+        ["alive", "dead"].map(|state| figure(gatekeeper, &format!("app_members{{state=\"{state}\"}}")))
+    };
+    let until = |what: &str, holds: &dyn Fn() -> bool| {
+        let until = Instant::now() + PATIENCE;
+        while !holds() {
+            assert!(Instant::now() < until, "never: {what}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    };
+    let (zero, one, two) = (start(0), start(1), start(2));
+    until("all know all", &|| [&zero, &one, &two].iter().all(|it| counts(it) == [2, 0]));
+    drop(two);
+    until("a death is known", &|| [&zero, &one].iter().all(|it| counts(it) == [1, 1]));
+    let two = start(2);
+    until("who is back is known", &|| [&zero, &one, &two].iter().all(|it| counts(it) == [2, 0]));
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    stranger.send_to(b"hello", &peers[0]).unwrap();
+    until("strangers are counted", &|| figure(&zero, "app_peer_datagrams{what=\"stranger\"}") == 1);
+    // Without its key nothing of it is there.
+    let alone = Gatekeeper::ready(&config_with_door(discovery.addr));
+    assert!(!alone.call("telemetry").contains("app_members"));
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -452,6 +452,11 @@
         ("\"settings\"", "\"sittings\"", "settings"),
         ("\"services\"", "\"service\"", "services"),
         ("{", "", "configuration"),
+        ("{", "{\"membership\":{\"fleet\":\"f\"},", "`peers`"),
+        ("{", "{\"membership\":{\"fleet\":\"f\"},\"peers\":[\"127.0.0.1:9\",\"127.0.0.1:8\"],", "`peers`"),
+        ("{", "{\"membership\":{\"fleet\":\"f\"},\"peers\":[\"127.0.0.1:9\"],", "`peer_listen`"),
+        ("{", "{\"membership\":{\"fleet\":\"\"},\"peers\":[\"127.0.0.1:9\"],", "`membership.fleet`"),
+        ("{", "{\"membership\":{\"flit\":\"f\"},", "flit"),
     ] {
         let bad = good.replacen(from, to, 1);
         assert_ne!(bad, good, "{from}");
