--- a/crates/lab/tests/demo.rs
+++ b/crates/lab/tests/demo.rs
@@ -19,6 +19,9 @@
     fn start(name: &str, seconds: u32) -> Demo {
         let out = std::env::temp_dir().join(format!("granitelead-demo-{name}-{}", std::process::id()));
         let mut command = Command::new(env!("CARGO_BIN_EXE_granitelead-lab"));
+        // What a demo that is killed leaves goes with the test.
+        std::fs::create_dir_all(&out).unwrap();
+        command.env("TMPDIR", &out);
         command.arg("demo").arg("--out").arg(&out).arg("--seconds").arg(seconds.to_string());
         let child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
         Demo { child, out }
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -38,6 +38,8 @@
 
 fn lab(out: &Path, words: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_granitelead-lab"));
+    // What a rig that is killed leaves goes with the test.
+    command.env("TMPDIR", out);
     command.arg("fleet").args(words).arg("--out").arg(out).stdout(Stdio::piped()).stderr(Stdio::piped());
     command
 }
