Give the list now and then to whoever finds no room to watch it, so that nobody is left outside

800 gatekeepers that start together before one list service take its 600 watches; the other 200 were refused, asked on at some 200 calls a second and were never ready (measured again: 600 of 800 ready after 30 s, 7,238 calls, 6,638 refused).

A refusal for want of room (`overloaded`) is followed by a call for the whole list on the same connection, and by the usual wait before the next try to watch.

The new test fails without it ("never ready").

--- a/crates/list-service/src/http.rs
+++ b/crates/list-service/src/http.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use granitelead_base::wire::Place;
 use granitelead_base::{note, ACCEPT_PAUSE};
-use granitelead_list::forms::{Refused, HOSTS, REVISION};
+use granitelead_list::forms::{Refused, HOSTS, OVERLOADED, REVISION};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE, RETRY_AFTER};
@@ -300,7 +300,7 @@
                 (StatusCode::CONFLICT, "index_ahead", "this list is not at that version".to_owned())
             }
             Wrong::Overloaded => {
-                (StatusCode::SERVICE_UNAVAILABLE, "overloaded", "as many are served as can be".to_owned())
+                (StatusCode::SERVICE_UNAVAILABLE, OVERLOADED, "as many are served as can be".to_owned())
             }
             Wrong::TooLong => {
                 (StatusCode::PAYLOAD_TOO_LARGE, "too_long", format!("more than {BODY_MAX} bytes"))
--- a/crates/list/src/follower.rs
+++ b/crates/list/src/follower.rs
@@ -1,6 +1,6 @@
 //! Watches on the list: one source at a time, for ever.
 
-use crate::forms::{HostList, Revision, HOSTS, REVISION};
+use crate::forms::{HostList, Refused, Revision, HOSTS, OVERLOADED, REVISION};
 use crate::sources::{Heard, Odd, Sources};
 use bytes::{Bytes, BytesMut};
 use granitelead_base::wire::{Place, Wire, WireIo};
@@ -30,6 +30,8 @@
 /// Time for the head of an answer for each gatekeeper that may stand in line before: a call that is given up
 /// is worked on all the same, and asked again after that.
 const IN_LINE: Duration = Duration::from_millis(30);
+/// The longest reason for a refusal that is read, bytes.
+const REFUSAL_MAX: usize = 4 << 10;
 /// The longest line; a list of thousands of servers is shorter.
 pub const LINE_MAX: usize = 4 << 20;
 /// The longest drawn wait before another source is asked about a list of hardly any server.
@@ -225,6 +227,15 @@
         match answer.status() {
             StatusCode::OK => {}
             StatusCode::CONFLICT => return Err(self.sources.ahead().into()),
+            StatusCode::SERVICE_UNAVAILABLE => {
+                let why =
+                    Limited::new(answer.into_body(), REFUSAL_MAX).collect().await.map_err(Ended::Body)?;
+                let why: Option<Refused> = serde_json::from_slice(&why.to_bytes()).ok();
+                return match why.is_some_and(|why| why.error == OVERLOADED) {
+                    true => self.ask_once(call, take).await,
+                    false => Err(Ended::Status(StatusCode::SERVICE_UNAVAILABLE)),
+                };
+            }
             status => return Err(Ended::Status(status)),
         }
         let mut body = answer.into_body();
@@ -262,6 +273,21 @@
         }
     }
 
+    /// The source has no room for a further watch: the list as it is now, so that nobody is left outside. A watch is tried
+    /// again after the usual wait.
+    async fn ask_once(
+        &mut self,
+        call: Call,
+        take: &mut impl FnMut(&HostList, ListScope),
+    ) -> Result<(), Ended> {
+        let list: HostList = call.read(HOSTS, self.pace.head).await?;
+        if (list.rev, list.epoch) != self.sources.known() {
+            self.hear(&list, take).await?;
+        }
+        self.listing.hear(list.stale_ms);
+        Ok(self.sources.goes_on(std::time::Instant::now(), list.stale_ms)?)
+    }
+
     async fn hear(
         &mut self,
         list: &HostList,
--- a/crates/list/src/forms.rs
+++ b/crates/list/src/forms.rs
@@ -134,6 +134,9 @@
     pub renew_ms: u64,
 }
 
+/// The reason of a refusal for want of room: other calls may find some.
+pub const OVERLOADED: &str = "overloaded";
+
 /// Why a call was refused.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct Refused {
--- a/tests/discovery/main.rs
+++ b/tests/discovery/main.rs
@@ -686,6 +686,24 @@
     server.says("renew");
 }
 
+/// One for whom the service has no room to watch asks for the list now and then, and watches when there is room.
+#[test]
+fn whoever_finds_no_room_to_watch_is_not_left_outside() {
+    let folder = folder();
+    let list = Service::writer(&folder, &["--connections", "24"]);
+    let (one, two) = (Registered::start("one", list.addr), Registered::start("two", list.addr));
+    let watches: Vec<_> = (0..16).map(|_| Watching::begin(list.addr, "index=0")).collect();
+    until("all places are taken", || list.figure("watches") == 16);
+    let gatekeeper = Gatekeeper::ready(&watching(&[list.addr]));
+    assert!(["one", "two"].contains(&served(&gatekeeper).as_str()));
+    one.says("drain");
+    until("changes are heard of", || figure(&gatekeeper, "list_rev") == list.figure("rev"));
+    assert_eq!((served(&gatekeeper), list.figure("watches")), ("two".into(), 16));
+    drop(watches);
+    until("it watches", || list.figure("watches") == 1);
+    drop(two);
+}
+
 #[test]
 fn a_watcher_that_takes_nothing_is_closed() {
     let folder = folder();
