Say once what the rig, the list service and membership said twice

Read again as a whole. The list service wrote to its disk until it took it in two loops of the same shape: `writes` is both. The laboratory wrote results and reports in two places (`write_results`), and its tests looked for children in two. Parties by number were spelt out four times (`numbers`). Each second the rig worked out for each server whether all gatekeepers are cut off from it, which only the demo shows and which made a way for each pair: it reads what it needs now. A datagram's header was decoded once for its sender and once more for its members, after a copy: once, without.

One thing changes: a client that needs a fresh connection no longer takes an idle one out and drops it.

--- a/crates/lab/src/loopback/clients.rs
+++ b/crates/lab/src/loopback/clients.rs
@@ -410,7 +410,7 @@
     /// An idle connection that still stands, or a new one, and whether it is new.
     async fn connection(&self, to: usize, idle: bool) -> Option<(Sender, bool)> {
         loop {
-            let sender = self.idle[to].borrow_mut().pop().filter(|_| idle);
+            let sender = if idle { self.idle[to].borrow_mut().pop() } else { None };
             match sender {
                 Some(sender) if sender.is_closed() => {}
                 Some(mut sender) => {
--- a/crates/lab/src/loopback/faults.rs
+++ b/crates/lab/src/loopback/faults.rs
@@ -109,6 +109,11 @@
         all
     }
 
+    /// The same without their zones.
+    fn numbers(&self, of: Option<Parties>) -> Vec<Party> {
+        self.parties(of).into_iter().map(|(party, _)| party).collect()
+    }
+
     /// Trouble between each of these and each of those; *out* is away from the first.
     fn troubles(&self, number: usize, of: &[Party], to: &[Party], trouble: Trouble, about: &mut About) {
         let back = Trouble { out: trouble.back, back: trouble.out, refuse: trouble.refuse };
@@ -190,9 +195,8 @@
             }
             CounterDown | ListSilent => {
                 let of = if fault.kind == CounterDown { Parties::Counter } else { Parties::Lists };
-                let of: Vec<Party> = self.parties(Some(of)).into_iter().map(|(party, _)| party).collect();
-                let to = self.parties(Some(Parties::Gatekeepers)).into_iter().map(|(party, _)| party);
-                self.cuts(number, &of, &to.collect::<Vec<_>>(), &mut about);
+                let (of, to) = (self.numbers(Some(of)), self.numbers(Some(Parties::Gatekeepers)));
+                self.cuts(number, &of, &to, &mut about);
             }
             PlanSurge => self.surges(fault, true),
             ClientsLeave => self.clients.leave(share),
@@ -271,7 +275,7 @@
             PauseList => self.lists[0].borrow().signal(Signal::STOP),
             Link => self.link(number, fault, &mut about),
             Split => {
-                let all: Vec<Party> = (0..self.gates.len()).map(|n| self.gate(n)).collect();
+                let all = self.numbers(Some(Parties::Gatekeepers));
                 let size = all.len().div_ceil(fault.times.0 as usize).max(1);
                 let groups: Vec<&[Party]> = all.chunks(size).collect();
                 if let [first, .., last] = groups[..] {
@@ -285,10 +289,9 @@
     }
 
     fn link(&self, number: usize, fault: &Fault, about: &mut About) {
-        let of: Vec<Party> = self.parties(fault.of).into_iter().map(|(party, _)| party).collect();
-        let of = self.draws(of, fault.share.0);
-        let to: Vec<Party> = self.parties(fault.to).into_iter().map(|(party, _)| party).collect();
-        let to: Vec<Party> = to.into_iter().filter(|party| !of.contains(party)).collect();
+        let of = self.draws(self.numbers(fault.of), fault.share.0);
+        let mut to = self.numbers(fault.to);
+        to.retain(|party| !of.contains(party));
         let (well, cut) = (Direction::default(), Direction { cut: true, ..Direction::default() });
         let both = |one: Direction| Trouble { out: one, back: one, refuse: false };
         let trouble = match fault.how {
--- a/crates/lab/src/loopback/fleet.rs
+++ b/crates/lab/src/loopback/fleet.rs
@@ -620,7 +620,9 @@
     while !asks.is_finished() {
         second += 1;
         tokio::time::sleep_until(fleet.clients.begun() + Duration::from_secs(second)).await;
-        let in_hand = fleet.servers().iter().map(|(_, _, _, n, _)| n.unwrap_or(0) as u32).collect();
+        let servers = fleet.servers.borrow();
+        let in_hand = servers.iter().map(|listed| listed.server.inflight().unwrap_or(0) as u32).collect();
+        drop(servers);
         if inflight.len() < fleet.seconds() {
             inflight.push(in_hand);
         }
@@ -637,19 +639,21 @@
 
     let mut gatherer = fleet.clients.gatherer.replace(Gatherer::new(0, 0, Run::default()));
     let run = gatherer.run();
-    let servers = fleet.servers();
+    let servers = fleet.servers.borrow();
     run.counter_calls = fleet.counter.calls.get();
-    run.attempts = servers.iter().map(|(_, _, attempts, _, _)| attempts).sum();
+    run.attempts = servers.iter().map(|listed| listed.server.attempts.get()).sum();
     run.marks = experiment.faults.iter().map(|fault| Mark::of(fault.get_ref())).collect();
     run.broken = verdict.counts.clone();
     run.breaches = verdict.breaches.clone();
     run.undecided = verdict.undecided.clone();
     run.processes = process_rows(&history, fleet.gates.len(), begun);
-    let row = |(n, (name, zone, attempts, _, _)): (usize, (String, String, u64, Option<usize>, bool))| {
-        let inflight = inflight.iter().filter_map(|second| second.get(n).copied()).collect();
-        ServerRow { name, zone, attempts, inflight }
+    let row = |(n, listed): (usize, &Rc<Listed>)| ServerRow {
+        name: listed.server.uid.clone(),
+        zone: listed.server.zone.clone(),
+        attempts: listed.server.attempts.get(),
+        inflight: inflight.iter().filter_map(|second| second.get(n).copied()).collect(),
     };
-    run.servers = servers.into_iter().enumerate().map(row).collect();
+    run.servers = servers.iter().enumerate().map(row).collect();
     Ok(Played { run: gatherer.finish(), verdict, history, sizes })
 }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,12 +5,13 @@
 use granitelead_lab::experiment::{Experiment, Mode};
 use granitelead_lab::loopback::demo::demo;
 use granitelead_lab::loopback::process::{be, WORD};
-use granitelead_lab::play::{doubles, fleet, name_of, random, Options as FleetOptions};
+use granitelead_lab::play::{
+    doubles, fleet, name_of, random, write_results, Failure, Options as FleetOptions,
+};
 use granitelead_lab::report::{by_variant, page};
 use granitelead_lab::results::{Run, FIGURES};
 use granitelead_lab::world::{play, real};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
-use std::error::Error;
 use std::ffi::OsString;
 use std::fs;
 use std::io::IsTerminal;
@@ -120,8 +121,6 @@
     },
 }
 
-type Failure = Box<dyn Error + Send + Sync>;
-
 fn main() -> ExitCode {
     // A fleet of which a part has failed unseen would be judged by what is left of it. The system ends all children.
     let says = std::panic::take_hook();
@@ -188,11 +187,7 @@
     fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
     for (name, experiment) in &experiments {
         let runs = play_all(name, experiment, jobs);
-        let lines: Vec<String> = runs.iter().map(serde_json::to_string).collect::<Result<_, _>>()?;
-        let text = lines.join("\n") + "\n";
-        let (result, report) = (out.join(format!("{name}.jsonl")), out.join(format!("{name}.html")));
-        fs::write(&result, &text).map_err(|e| format!("{}: {e}", result.display()))?;
-        fs::write(&report, page(&runs, "virtual time")?).map_err(|e| format!("{}: {e}", report.display()))?;
+        let (text, report) = write_results(&runs, name, out, "virtual time")?;
         if json {
             print!("{text}");
         } else {
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -6,6 +6,7 @@
 use crate::loopback::fleet::{kept_at, play, Played, Setup};
 use crate::oracle::Rule;
 use crate::report::page;
+use crate::results::Run;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -53,6 +54,17 @@
     Ok(play(name, experiment, seed, &setup, &|_, _| Ok(()))?)
 }
 
+/// Writes the runs of an experiment (NAME.jsonl, a line a run) and their report (NAME.html); gives the lines, and where
+/// the report lies. `mode` says how they were played.
+pub fn write_results(runs: &[Run], name: &str, out: &Path, mode: &str) -> Result<(String, PathBuf), Failure> {
+    let lines: Vec<String> = runs.iter().map(serde_json::to_string).collect::<Result<_, _>>()?;
+    let text = lines.join("\n") + "\n";
+    let (result, report) = (out.join(format!("{name}.jsonl")), out.join(format!("{name}.html")));
+    fs::write(&result, &text).map_err(|e| format!("{}: {e}", result.display()))?;
+    fs::write(&report, page(runs, mode)?).map_err(|e| format!("{}: {e}", report.display()))?;
+    Ok((text, report))
+}
+
 /// Writes a history, a line of JSON an event.
 fn write_history(played: &Played, name: &str, seed: u64, out: &Path) -> Result<PathBuf, Failure> {
     let path = out.join(format!("{name}-{seed}.history.jsonl"));
@@ -120,12 +132,7 @@
             all += 1;
             runs.push(played.run);
         }
-        let lines: Vec<String> = runs.iter().map(serde_json::to_string).collect::<Result<_, _>>()?;
-        let (result, report) =
-            (options.out.join(format!("{name}.jsonl")), options.out.join(format!("{name}.html")));
-        fs::write(&result, lines.join("\n") + "\n").map_err(|e| format!("{}: {e}", result.display()))?;
-        let page = page(&runs, "real time on processes")?;
-        fs::write(&report, page).map_err(|e| format!("{}: {e}", report.display()))?;
+        let (_, report) = write_results(&runs, name, &options.out, "real time on processes")?;
         println!("{}", report.display());
     }
     match broken {
--- a/crates/lab/tests/demo.rs
+++ b/crates/lab/tests/demo.rs
@@ -1,5 +1,8 @@
 //! The demo on loopback: it ends by itself with a report, and leaves nothing behind however it ends.
 
+mod common;
+
+use common::children;
 use std::io::{BufRead, BufReader, Read};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -60,18 +63,6 @@
     }
 }
 
-fn children(of: u32) -> Vec<u32> {
-    let parent = |pid: &u32| -> Option<u32> {
-        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-        stat.rsplit_once(')')?.1.split_whitespace().nth(1)?.parse().ok()
-    };
-    let all = std::fs::read_dir("/proc").unwrap().flatten();
-    let pids = all.filter_map(|entry| entry.file_name().to_str()?.parse().ok());
-    let mut all: Vec<u32> = pids.filter(|pid| parent(pid) == Some(of)).collect();
-    all.sort_unstable();
-    all
-}
-
 fn words(pid: u32) -> String {
     std::fs::read_to_string(format!("/proc/{pid}/cmdline")).unwrap_or_default()
 }
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -1,6 +1,9 @@
 //! Small fleets of real processes with faults between them. Verdicts come from histories: a rule that was broken fails on
 //! any machine; a run in which the machine stood still may be not decided, and is then as good as no run.
 
+mod common;
+
+use common::children;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::thread;
@@ -106,16 +109,6 @@
     assert!(!output.status.success() && said.contains("line") && said.contains("fault.lasts"), "{said}");
 }
 
-fn children(of: u32) -> Vec<u32> {
-    let parent = |pid: &u32| -> Option<u32> {
-        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-        stat.rsplit_once(')')?.1.split_whitespace().nth(1)?.parse().ok()
-    };
-    let all = std::fs::read_dir("/proc").unwrap().flatten();
-    let pids = all.filter_map(|entry| entry.file_name().to_str()?.parse().ok());
-    pids.filter(|pid| parent(pid) == Some(of)).collect()
-}
-
 fn until(what: &str, holds: impl Fn() -> bool) {
     let until = Instant::now() + PATIENCE;
     while !holds() {
--- a/crates/list-service/src/service.rs
+++ b/crates/list-service/src/service.rs
@@ -239,26 +239,38 @@
         }
     }
 
-    /// Another line of versions begins, with the servers that are listed.
-    async fn begin_anew(&self, mut store: Store, told: u64) -> Result<Store, JoinError> {
-        self.older.set(Older::Left);
-        let Ok(registry) = self.registry() else { return Ok(store) };
-        let (now, before) = (unix_ms(), self.at().epoch);
-        let at = Position { epoch: now.max(before + 1), rev: now.max(told + 1) };
-        // What changes from here on is of the new line, and waits until it has begun.
-        let lease = registry.borrow_mut().go_on_from(at.rev, now);
+    /// Writes to the disk, again and again until it takes it; `what` is said of each failure.
+    async fn writes(
+        &self,
+        mut store: Store,
+        what: &str,
+        write: impl Fn(&mut Store) -> std::io::Result<()> + Clone + Send + 'static,
+    ) -> Result<Store, JoinError> {
         loop {
+            let write = write.clone();
             let wrote = tokio::task::spawn_blocking(move || {
-                let wrote = store.begin_anew(at.epoch, at.rev, lease);
+                let wrote = write(&mut store);
                 (store, wrote)
             });
             let (back, wrote) = wrote.await?;
             store = back;
             self.failing.set(wrote.is_err());
-            let Err(e) = wrote else { break };
-            note(&self.odd, format_args!("no new list begins: {e}"));
+            let Err(e) = wrote else { return Ok(store) };
+            note(&self.odd, format_args!("{what}: {e}"));
             tokio::time::sleep(DISK_PAUSE).await;
         }
+    }
+
+    /// Another line of versions begins, with the servers that are listed.
+    async fn begin_anew(&self, mut store: Store, told: u64) -> Result<Store, JoinError> {
+        self.older.set(Older::Left);
+        let Ok(registry) = self.registry() else { return Ok(store) };
+        let (now, before) = (unix_ms(), self.at().epoch);
+        let at = Position { epoch: now.max(before + 1), rev: now.max(told + 1) };
+        // What changes from here on is of the new line, and waits until it has begun.
+        let lease = registry.borrow_mut().go_on_from(at.rev, now);
+        let write = move |store: &mut Store| store.begin_anew(at.epoch, at.rev, lease);
+        store = self.writes(store, "no new list begins", write).await?;
         let mut board = self.board.borrow_mut();
         let listed: Vec<_> = board.listed().cloned().collect();
         *board = Board::new(at, listed, false, RING);
@@ -277,19 +289,9 @@
                 }
                 continue;
             }
-            loop {
-                let records = batch.clone();
-                let wrote = tokio::task::spawn_blocking(move || {
-                    let wrote = store.append(&records);
-                    (store, wrote)
-                });
-                let (back, wrote) = wrote.await?;
-                store = back;
-                self.failing.set(wrote.is_err());
-                let Err(e) = wrote else { break };
-                note(&self.odd, format_args!("not kept, and not told: {e}"));
-                tokio::time::sleep(DISK_PAUSE).await;
-            }
+            let records = batch.clone();
+            let write = move |store: &mut Store| store.append(&records);
+            store = self.writes(store, "not kept, and not told", write).await?;
             let mut board = self.board.borrow_mut();
             for record in batch.iter() {
                 board.publish(record.rev, record.target.clone());
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -146,11 +146,11 @@
 
     /// A datagram has come from the address of that gatekeeper.
     pub fn hears(&mut self, now: u64, from: u16, datagram: &[u8]) -> Result<(), Dropped> {
-        let data = self.opener.open(from, datagram)?.to_vec();
-        if wire::sender(&data) != Some(from) || !wire::is_of(&data, self.of) {
+        let data = self.opener.open(from, datagram)?;
+        if !wire::is_of(data, from, self.of) {
             return Err(Dropped::Stranger);
         }
-        self.calls(now, |foca, gathers| foca.handle_data(&data, gathers));
+        self.calls(now, |foca, gathers| foca.handle_data(data, gathers));
         Ok(())
     }
 
--- a/crates/members/src/wire.rs
+++ b/crates/members/src/wire.rs
@@ -130,16 +130,14 @@
     }
 }
 
-/// Who says to have sent a message.
-pub fn sender(data: &[u8]) -> Option<u16> {
-    data.first_chunk::<2>().map(|number| u16::from_be_bytes(*number))
-}
-
-/// Whether all gatekeepers that a message names are among so many.
-pub fn is_of(data: &[u8], of: u16) -> bool {
+/// Whether a message says to be from that gatekeeper, and all that it names are among so many.
+pub fn is_of(data: &[u8], from: u16, of: u16) -> bool {
     let mut data = data;
     let Ok(header) = Wire.decode_header(&mut data) else { return false };
     let (_, _, about) = parts(&header.message);
+    if header.src.number != from {
+        return false;
+    }
     if [&header.src, &header.dst].into_iter().chain(about).any(|id| id.number >= of) {
         return false;
     }
