--- /dev/null
+++ b/crates/crossbar/src/clients.rs
@@ -0,0 +1,168 @@
+//! Clients' connections: how many, and for how long each may be idle or take for a head.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Nothing, since then.
+    Idle(Instant),
+    /// A head comes, since then.
+    Head(Instant),
+    /// A request is being answered.
+    Busy,
+}
+
+/// One client's connection from outside.
+pub struct Watch {
+    phase: Cell<Phase>,
+    /// Told to close once nothing is under way.
+    pub ends: Notify,
+    ending: Cell<bool>,
+}
+
+impl Watch {
+    /// A request is read; it is answered when what this gives is dropped.
+    pub fn begin(self: &Rc<Self>) -> Busy {
+        self.phase.set(Phase::Busy);
+        Busy(self.clone())
+    }
+
+    fn end(&self) {
+        if !self.ending.replace(true) {
+            self.ends.notify_one();
+        }
+    }
+}
+
+/// A request under way.
+pub struct Busy(Rc<Watch>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.phase.set(Phase::Idle(Instant::now()));
+    }
+}
+
+/// All clients' connections.
+#[derive(Default)]
+pub struct Clients {
+    all: RefCell<BTreeMap<u64, Rc<Watch>>>,
+    next: Cell<u64>,
+}
+
+/// A place among them, free again when dropped.
+pub struct Seat {
+    clients: Rc<Clients>,
+    number: u64,
+    /// The connection.
+    pub watch: Rc<Watch>,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.clients.all.borrow_mut().remove(&self.number);
+    }
+}
+
+impl Clients {
+    /// A client connects. Where all places are taken the one that has been idle for longest is told to go.
+    pub fn seat(self: &Rc<Self>, most: usize) -> Option<Seat> {
+        let mut all = self.all.borrow_mut();
+        if all.len() >= most {
+            let idle = all.values().filter_map(|watch| match watch.phase.get() {
+                Phase::Idle(since) if !watch.ending.get() => Some((since, watch)),
+                _ => None,
+            });
+            if let Some((_, watch)) = idle.min_by_key(|(since, _)| *since) {
+                watch.end();
+            }
+            if all.len() >= most + most / 16 {
+                return None;
+            }
+        }
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let phase = Cell::new(Phase::Idle(Instant::now()));
+        let watch = Rc::new(Watch { phase, ends: Notify::new(), ending: Cell::new(false) });
+        all.insert(number, watch.clone());
+        Some(Seat { clients: self.clone(), number, watch })
+    }
+
+    /// Ends those that are idle, or whose head comes, for too long.
+    pub fn sweep(&self, head: Duration, idle: Duration) {
+        for watch in self.all.borrow().values() {
+            match watch.phase.get() {
+                Phase::Idle(since) if since.elapsed() > idle => watch.end(),
+                Phase::Head(since) if since.elapsed() > head => watch.end(),
+                _ => {}
+            }
+        }
+    }
+
+    /// Tells all to close once nothing is under way.
+    pub fn end_all(&self) {
+        for watch in self.all.borrow().values() {
+            watch.end();
+        }
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.all.borrow().len()
+    }
+}
+
+/// A client's socket, which tells when something comes.
+pub struct Watched {
+    /// The socket.
+    pub stream: TcpStream,
+    /// Who is told.
+    pub watch: Rc<Watch>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before && matches!(self.watch.phase.get(), Phase::Idle(_)) {
+            self.watch.phase.set(Phase::Head(Instant::now()));
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        bufs: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/crossbar/src/control.rs
@@ -0,0 +1,211 @@
+//! Sessions with markers: what they tell is taken in and acknowledged, and what was let in is told to one of them.
+//!
+//! A gatekeeper holds sessions with a few markers, so that nothing is missed when one of them goes. One is its home: of
+//! its own zone if there is one. A gatekeeper that hears no marker goes on with what it last knew.
+
+use crate::Millis;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+use trunk::words::{Document, Down, Instance, News, Up};
+
+/// Sessions at once.
+pub const SESSIONS: usize = 3;
+/// Adds that are not yet counted are merged beyond so many batches.
+const UNCOUNTED_MAX: usize = 64;
+
+/// What a word of a marker changes here.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// A configuration to have in force.
+    Configuration(Document),
+    /// What has changed of servers.
+    Servers(Vec<Instance>),
+    /// All is told that a marker knows.
+    Whole,
+    /// How many gatekeepers there are.
+    Gatekeepers(u32),
+    /// What all others have let in since this was last told, by tenant.
+    Others(Vec<(String, u64)>),
+}
+
+#[derive(Default)]
+struct Session {
+    zone: Option<String>,
+    opened: Millis,
+    /// What the others had let in by the newest totals, once there were some.
+    others: Option<BTreeMap<String, u64>>,
+}
+
+/// All sessions of a gatekeeper.
+pub struct Control {
+    life: u64,
+    name: String,
+    zone: String,
+    seeds: Vec<Ipv4Addr>,
+    told: BTreeSet<Ipv4Addr>,
+    sessions: BTreeMap<Ipv4Addr, Session>,
+    home: Option<Ipv4Addr>,
+    number: u64,
+    uncounted: Vec<(u64, BTreeMap<String, u64>)>,
+    let_in: BTreeMap<String, u64>,
+    rng: fastrand::Rng,
+}
+
+impl Control {
+    /// For a process that starts; `seed` draws its life.
+    pub fn new(name: &str, zone: &str, seeds: Vec<Ipv4Addr>, seed: u64) -> Control {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        Control {
+            life: rng.u64(1..),
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            seeds,
+            told: BTreeSet::new(),
+            sessions: BTreeMap::new(),
+            home: None,
+            number: 0,
+            uncounted: Vec::new(),
+            let_in: BTreeMap::new(),
+            rng,
+        }
+    }
+
+    /// The settings name other seeds.
+    pub fn reseed(&mut self, seeds: Vec<Ipv4Addr>) {
+        self.seeds = seeds;
+    }
+
+    /// How many sessions stand.
+    pub fn standing(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// The marker that counts what is let in here.
+    pub fn home(&self) -> Option<Ipv4Addr> {
+        self.home
+    }
+
+    /// Which marker to try for a further session, if one is wanted; `busy` are being tried.
+    pub fn wanted(&mut self, busy: &BTreeSet<Ipv4Addr>) -> Option<Ipv4Addr> {
+        if self.sessions.len() + busy.len() >= SESSIONS {
+            return None;
+        }
+        let free = |ip: &&Ipv4Addr| !self.sessions.contains_key(*ip) && !busy.contains(*ip);
+        let told: Vec<Ipv4Addr> = self.told.iter().chain(&self.seeds).filter(free).copied().collect();
+        self.rng.choice(told)
+    }
+
+    /// A session is up. Gives what to say first.
+    pub fn open(&mut self, now: Millis, ip: Ipv4Addr, has: Option<u32>, servers: Vec<Instance>) -> Up {
+        self.sessions.insert(ip, Session { opened: now, ..Session::default() });
+        Up::Hello { life: self.life, name: self.name.clone(), has, servers }
+    }
+
+    /// A session has ended.
+    pub fn close(&mut self, ip: Ipv4Addr) -> Vec<(Ipv4Addr, Up)> {
+        self.sessions.remove(&ip);
+        if self.home == Some(ip) {
+            self.home = None;
+        }
+        self.find_home()
+    }
+
+    /// The home is a marker of this zone that has told all, else whichever has for longest.
+    fn find_home(&mut self) -> Vec<(Ipv4Addr, Up)> {
+        let near = |s: &Session| s.zone.as_ref() == Some(&self.zone);
+        let told = self.sessions.iter().filter(|(_, s)| s.zone.is_some());
+        let best =
+            told.min_by_key(|(ip, s)| (!near(s), self.home != Some(**ip), s.opened, **ip)).map(|(ip, _)| *ip);
+        if best == self.home {
+            return Vec::new();
+        }
+        let mut say: Vec<(Ipv4Addr, Up)> = self.home.into_iter().map(|ip| (ip, Up::Home(false))).collect();
+        self.home = best;
+        if let Some(session) = best.and_then(|ip| self.sessions.get_mut(&ip)) {
+            session.others = None;
+        }
+        if let Some(ip) = best {
+            say.push((ip, Up::Home(true)));
+            // What the former home may not have counted is told again: rather twice than never.
+            let again = std::mem::take(&mut self.uncounted).into_iter().flat_map(|(_, adds)| adds);
+            for (tenant, n) in again {
+                *self.let_in.entry(tenant).or_default() += n;
+            }
+        }
+        say
+    }
+
+    /// A marker says something. Gives what it changes, and what to say.
+    pub fn take(&mut self, ip: Ipv4Addr, word: Down) -> (Option<Change>, Vec<(Ipv4Addr, Up)>) {
+        match word {
+            Down::Pong => (None, Vec::new()),
+            Down::News(number, news) => {
+                let mut say = vec![(ip, Up::Got(number))];
+                let change = match news {
+                    News::Configuration(document) => Some(Change::Configuration(document)),
+                    News::Servers(servers) => Some(Change::Servers(servers)),
+                    News::Markers(markers) => {
+                        self.told = markers.into_iter().collect();
+                        None
+                    }
+                    News::Gatekeepers(n) => Some(Change::Gatekeepers(n)),
+                    News::Whole(zone) => {
+                        if let Some(session) = self.sessions.get_mut(&ip) {
+                            session.zone = Some(zone);
+                        }
+                        say.extend(self.find_home());
+                        Some(Change::Whole)
+                    }
+                };
+                (change, say)
+            }
+            Down::Totals(counted, totals) => {
+                if self.home != Some(ip) {
+                    return (None, Vec::new());
+                }
+                self.uncounted.retain(|(number, _)| *number > counted);
+                let Some(session) = self.sessions.get_mut(&ip) else { return (None, Vec::new()) };
+                let first = session.others.is_none();
+                let known = session.others.get_or_insert_with(BTreeMap::new);
+                let mut news = Vec::new();
+                for (tenant, total, own) in totals {
+                    let others = total.saturating_sub(own);
+                    let before = known.insert(tenant.clone(), others).unwrap_or(0);
+                    // The first totals hold all since the marker's start: only what comes after tells of now.
+                    if !first && others > before {
+                        news.push((tenant, others - before));
+                    }
+                }
+                (Some(Change::Others(news)), Vec::new())
+            }
+        }
+    }
+
+    /// A request of a tenant is let in.
+    pub fn add(&mut self, tenant: &str) {
+        if let Some(n) = self.let_in.get_mut(tenant) {
+            *n += 1;
+        } else {
+            self.let_in.insert(tenant.to_owned(), 1);
+        }
+    }
+
+    /// What to tell the home of what was let in since the last time.
+    pub fn batch(&mut self) -> Option<(Ipv4Addr, Up)> {
+        let home = self.home?;
+        if self.let_in.is_empty() {
+            return None;
+        }
+        let adds = std::mem::take(&mut self.let_in);
+        self.number += 1;
+        let up = Up::Adds(self.number, adds.iter().map(|(tenant, n)| (tenant.clone(), *n)).collect());
+        if self.uncounted.len() >= UNCOUNTED_MAX {
+            if let Some((_, oldest)) = self.uncounted.first_mut() {
+                adds.into_iter().for_each(|(tenant, n)| *oldest.entry(tenant).or_default() += n);
+            }
+        } else {
+            self.uncounted.push((self.number, adds));
+        }
+        Some((home, up))
+    }
+}
--- /dev/null
+++ b/crates/crossbar/src/gate.rs
@@ -0,0 +1,169 @@
+//! What a gatekeeper holds, as one state machine: requests are routed, their keys checked, their tenants counted.
+
+use crate::budget::Budget;
+use crate::control::{Change, Control};
+use crate::dials::names;
+use crate::servers::Servers;
+use crate::Millis;
+use hyper::header::{HeaderMap, AUTHORIZATION};
+use plugboard::configuration::{self, Configuration, Route};
+use plugboard::kinds::Kind;
+use plugboard::settings::Bounds;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time that is kept of a request's for its answer to reach the client.
+const MARGIN: Millis = 5;
+
+/// What a request is allowed.
+#[derive(Clone, Debug)]
+pub struct Pass {
+    /// The configuration that it is handled by, to its end.
+    pub configuration: Rc<Configuration>,
+    /// Its service.
+    pub service: String,
+    /// Its tenant's name.
+    pub tenant: Option<String>,
+    /// Its rank.
+    pub priority: u32,
+    /// Until when the system may take.
+    pub deadline: Millis,
+    /// Its route: host and place.
+    host: String,
+    place: usize,
+}
+
+impl Pass {
+    /// Its route.
+    pub fn route(&self) -> &Route {
+        &self.configuration.hosts[&self.host][self.place]
+    }
+}
+
+/// What a gatekeeper holds.
+pub struct Gate {
+    /// The configuration in force.
+    pub configuration: Option<Rc<Configuration>>,
+    /// The servers.
+    pub servers: Servers,
+    /// Further tries.
+    pub budget: Budget,
+    /// The sessions with markers.
+    pub control: Control,
+    /// Whether a marker has told all that it knows.
+    pub whole: bool,
+    /// Whether the process is about to end.
+    pub leaving: bool,
+    rng: fastrand::Rng,
+}
+
+impl Gate {
+    /// One that knows nothing yet.
+    pub fn new(control: Control, zone: &str, bounds: &Bounds, seed: u64) -> Gate {
+        let window = bounds.retry_window.as_millis() as Millis;
+        Gate {
+            configuration: None,
+            servers: Servers::new(zone, seed),
+            budget: Budget::new(bounds.retry_ratio, bounds.retry_slack, window),
+            control,
+            whole: false,
+            leaving: false,
+            rng: fastrand::Rng::with_seed(seed ^ 1),
+        }
+    }
+
+    /// Whether clients may come: it has a configuration and the servers, and stays.
+    pub fn is_ready(&self) -> bool {
+        self.whole && self.configuration.is_some() && !self.leaving
+    }
+
+    /// What a marker told changes. Gives the version that is newly in force, and lives of servers that get nothing
+    /// new any more.
+    pub fn take(&mut self, now: Millis, change: Change) -> (Option<u32>, Vec<Rc<str>>) {
+        match change {
+            Change::Configuration(document) => {
+                let has = self.configuration.as_ref().map(|c| c.version);
+                if has.is_some_and(|has| has >= document.version) {
+                    return (has, Vec::new());
+                }
+                match configuration::parse(&document.bytes) {
+                    Ok(read) => {
+                        let version = read.version;
+                        self.configuration = Some(Rc::new(read));
+                        return (Some(version), Vec::new());
+                    }
+                    // Markers check the same way before they take one in.
+                    Err(faults) => log::error!("a configuration that can't be used: {faults}"),
+                }
+            }
+            Change::Servers(told) => return (None, self.servers.take(now, told)),
+            Change::Whole => self.whole = true,
+            Change::Gatekeepers(n) => self.budget.share(n),
+            Change::Others(_) => {}
+        }
+        (None, Vec::new())
+    }
+
+    /// Routes a request and checks its key. `time` is what its client waits, ms.
+    ///
+    /// # Errors
+    ///
+    /// What it is answered with instead.
+    pub fn admit(&mut self, now: Millis, host: &str, path: &str, headers: &HeaderMap) -> Result<Pass, Kind> {
+        let Some(configuration) = self.configuration.clone() else { return Err(Kind::NotReady) };
+        let route = configuration.route(host, path).ok_or(Kind::Unknown)?;
+        let tenant = if configuration.keyed {
+            let key = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+            let key = key.and_then(|value| value.split_once(' '));
+            let bearer =
+                key.filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer")).map(|(_, key)| key.trim());
+            match bearer.and_then(|key| configuration.keys.get(key)) {
+                Some(tenant) => Some(&configuration.tenants[*tenant]),
+                None if route.public => None,
+                None => return Err(Kind::Key),
+            }
+        } else {
+            None
+        };
+        let id = headers.get(names::ATTEMPT).is_some_and(|id| !id.is_empty());
+        if !id {
+            return Err(Kind::Malformed);
+        }
+        let told = headers.get(names::DEADLINE).and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        let time = told.map_or(route.timeout, Duration::from_millis).min(route.timeout);
+        let service = self.draw(&configuration, route).ok_or(Kind::NoRoom)?;
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let place = configuration.hosts[&host].iter().position(|r| r.prefix == route.prefix).unwrap_or(0);
+        let pass = Pass {
+            service,
+            tenant: tenant.map(|t| t.name.clone()),
+            priority: tenant.and_then(|t| t.priority).unwrap_or(route.priority),
+            deadline: now + (time.as_millis() as Millis).saturating_sub(MARGIN),
+            host,
+            place,
+            configuration: configuration.clone(),
+        };
+        if let Some(tenant) = tenant {
+            self.control.add(&tenant.name);
+        }
+        Ok(pass)
+    }
+
+    /// One of a route's services, by weight.
+    fn draw(&mut self, configuration: &Configuration, route: &Route) -> Option<String> {
+        let sum: f64 = route.split.iter().map(|(_, weight)| weight).sum();
+        let mut at = self.rng.f64() * sum;
+        let drawn = route.split.iter().find(|(_, weight)| {
+            at -= weight;
+            at <= 0.0 && *weight > 0.0
+        });
+        let (place, _) = drawn.or(route.split.first())?;
+        configuration.services.get(*place).map(|service| service.name.clone())
+    }
+
+    /// When to come back after a refusal, in ms: drawn, so that nothing returns in step.
+    pub fn come_back(&mut self, aim: Millis) -> Millis {
+        let mean = (aim / 4).clamp(10, 500);
+        self.rng.u64(mean / 2..=mean + mean / 2)
+    }
+}
--- /dev/null
+++ b/crates/crossbar/src/lib.rs
@@ -0,0 +1,55 @@
+//! The data plane of the system.
+//!
+//! A gatekeeper takes requests from clients and sends each to a server, by the configuration and the servers that
+//! markers push to it. [`gate`] joins what it holds and decides with; [`journey`] is one request's way; [`run`] joins
+//! them to sockets and signals.
+
+pub mod budget;
+pub mod clients;
+pub mod control;
+pub mod dials;
+pub mod front;
+pub mod gate;
+pub mod journey;
+pub mod run;
+pub mod servers;
+
+use std::process::ExitCode;
+
+/// Points in time and spans, ms of a clock that never goes back.
+pub type Millis = u64;
+
+const HELP: &str = "\
+crossbar: the data plane of granitelead
+
+USAGE: crossbar [--help | --version]
+
+Reads the settings file that GRANITELEAD_NODE_FILE names (/etc/granitelead/node.toml without it). SIGHUP reads it
+again, SIGTERM answers what is under way and ends. The log is a ring in memory, written to standard error when
+something goes wrong.
+
+EXIT STATUS: 0 after SIGTERM, 1 when it can't go on, 2 for settings or a command line that can't be used
+
+EXAMPLE: GRANITELEAD_NODE_FILE=/etc/granitelead/node.toml crossbar";
+
+/// Runs a gatekeeper; its exit status.
+pub fn run() -> ExitCode {
+    if let Some(status) = plugboard::command::options("crossbar", HELP) {
+        return status;
+    }
+    let settings = match plugboard::command::begin("crossbar") {
+        Ok(settings) => settings,
+        Err(status) => return status,
+    };
+    let (Some(front), Some(readiness)) = (settings.front, settings.readiness) else {
+        eprintln!("crossbar: settings: listen-addresses: front and readiness are expected");
+        return ExitCode::from(plugboard::command::UNUSABLE);
+    };
+    granitelead_base::run(
+        "crossbar",
+        || Ok::<_, Infallible>(settings),
+        |settings| run::serve(settings, front, readiness),
+    )
+}
+
+use std::convert::Infallible;
--- /dev/null
+++ b/crates/crossbar/src/servers.rs
@@ -0,0 +1,213 @@
+//! The servers as one gatekeeper knows them, and the choice among them.
+//!
+//! What markers tell says which there are. What answers and failures say is this gatekeeper's own: how slow each is
+//! compared with its service, what is under way there from here, and whether it failed.
+
+use crate::Millis;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use trunk::words::{Instance, State};
+
+/// How much better a server of another zone must look.
+const CROSS_ZONE: f64 = 1.15;
+/// Weight of a new answer in what is known of a server, and in what is known of its service.
+const LEARN: (f64, f64) = (0.15, 0.03);
+/// A server that fails is left alone for so long at first; doubled with each further failure, so often at most.
+const AVOID: (Millis, u32) = (600, 4);
+/// Most of what a server may have under way from here, in its slots, before others must take it.
+const DEEPEST: f64 = 1.5;
+/// A cold server is taken to be so much slower.
+const COLD: f64 = 2.0;
+/// A server that is told to be silent is believed to live if it answered here so lately.
+const ANSWERED: Millis = 3_000;
+
+/// One life of a server.
+#[derive(Debug)]
+pub struct Server {
+    /// What is told of it.
+    pub told: Instance,
+    /// Requests under way from here.
+    pub under_way: u32,
+    slow: f64,
+    answered: Option<Millis>,
+    failures: u32,
+    avoid_until: Millis,
+    cold_until: Millis,
+}
+
+/// How a request ended at a server, as far as it tells something of the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// A good answer, after so long.
+    Good(Millis),
+    /// It turned the request away: it is full.
+    Full,
+    /// It is not the one that was meant, or it can't be connected to.
+    Absent,
+    /// It broke off, answered what is no answer, or failed.
+    Failed,
+    /// Nothing that tells of it.
+    Nothing,
+}
+
+/// All servers, by service.
+#[derive(Default)]
+pub struct Servers {
+    zone: String,
+    by_id: BTreeMap<Rc<str>, Server>,
+    services: BTreeMap<String, BTreeSet<Rc<str>>>,
+    /// Mean time of good answers by service, ms.
+    typical: BTreeMap<String, f64>,
+    rng: fastrand::Rng,
+}
+
+impl Servers {
+    /// Those that a gatekeeper of this zone knows: none yet.
+    pub fn new(zone: &str, seed: u64) -> Servers {
+        Servers { zone: zone.to_owned(), rng: fastrand::Rng::with_seed(seed), ..Servers::default() }
+    }
+
+    /// Takes in what a marker tells. Gives the lives that get nothing new any more.
+    pub fn take(&mut self, now: Millis, told: Vec<Instance>) -> Vec<Rc<str>> {
+        let mut ended = Vec::new();
+        for word in told {
+            let id: Rc<str> = word.id.as_str().into();
+            let Some(server) = self.by_id.get_mut(&id) else {
+                if word.state != State::Gone {
+                    self.services.entry(word.service.clone()).or_default().insert(id.clone());
+                    let cold_until = now + word.cold_ms;
+                    let server = Server {
+                        told: word,
+                        under_way: 0,
+                        slow: 1.0,
+                        answered: None,
+                        failures: 0,
+                        avoid_until: 0,
+                        cold_until,
+                    };
+                    self.by_id.insert(id, server);
+                }
+                continue;
+            };
+            if (word.sequence, word.state) <= (server.told.sequence, server.told.state) {
+                continue;
+            }
+            // Silence at a marker is less than an answer here; a server that says that it ends has ended.
+            let silent = word.state == State::Gone && word.sequence != u64::MAX;
+            if silent && server.answered.is_some_and(|at| now < at + ANSWERED) {
+                continue;
+            }
+            if word.state != State::Ready {
+                ended.push(id);
+            }
+            server.told = word;
+        }
+        let gone = |s: &Server| s.told.state == State::Gone && s.under_way == 0;
+        self.by_id.retain(|id, server| {
+            let keeps = !gone(server);
+            if !keeps {
+                if let Some(ids) = self.services.get_mut(&server.told.service) {
+                    ids.remove(id);
+                }
+            }
+            keeps
+        });
+        ended
+    }
+
+    /// All that are not gone, as others are to know them.
+    pub fn all(&self) -> Vec<Instance> {
+        self.by_id.values().map(|s| &s.told).filter(|told| told.state != State::Gone).cloned().collect()
+    }
+
+    /// How many are ready, by service.
+    pub fn ready(&self, service: &str) -> usize {
+        let ids = self.services.get(service).into_iter().flatten();
+        ids.filter(|id| self.by_id.get(*id).is_some_and(|s| s.told.state == State::Ready)).count()
+    }
+
+    /// A server by its life.
+    pub fn get(&self, id: &str) -> Option<&Server> {
+        self.by_id.get(id)
+    }
+
+    /// What a request would have to wait for at a server, in parts of what is usual.
+    fn expected(&self, server: &Server, now: Millis) -> f64 {
+        let slots = f64::from(server.told.slots.max(1));
+        let load = (f64::from(server.under_way) + 1.0) / slots;
+        let zone = if server.told.zone == self.zone { 1.0 } else { CROSS_ZONE };
+        let cold = if now < server.cold_until { COLD } else { 1.0 };
+        server.slow * cold * zone * (0.5 + load)
+    }
+
+    /// The best server of a service for a request that was tried at some already: the better of two that are drawn
+    /// by their speed. `None` where all have as much as they may have.
+    pub fn pick(&mut self, now: Millis, service: &str, tried: &[Rc<str>]) -> Option<Rc<str>> {
+        let ids = self.services.get(service)?;
+        let ready: Vec<(&Rc<str>, &Server)> = ids
+            .iter()
+            .filter_map(|id| self.by_id.get(id).map(|server| (id, server)))
+            .filter(|(id, s)| s.told.state == State::Ready && !tried.contains(*id))
+            .collect();
+        let has_room = |s: &Server| f64::from(s.under_way) < f64::from(s.told.slots) * DEEPEST;
+        let well: Vec<&(&Rc<str>, &Server)> = ready.iter().filter(|(_, s)| now >= s.avoid_until).collect();
+        // If most of a service seems ill, it is not the servers.
+        let all: Vec<&(&Rc<str>, &Server)> =
+            if well.len() * 2 >= ready.len() { well } else { ready.iter().collect() };
+        let fit: Vec<_> = all.into_iter().filter(|(_, s)| has_room(s)).collect();
+        let weight = |s: &Server| {
+            let zone = if s.told.zone == self.zone { 1.0 } else { 1.0 / CROSS_ZONE };
+            zone * f64::from(s.told.slots) / s.slow.max(0.05)
+        };
+        let sum: f64 = fit.iter().map(|(_, s)| weight(s)).sum();
+        let mut draw = || {
+            let mut at = self.rng.f64() * sum;
+            fit.iter()
+                .find(|(_, s)| {
+                    at -= weight(s);
+                    at <= 0.0
+                })
+                .or(fit.last())
+        };
+        let (one, other) = (draw()?, draw()?);
+        let better = if self.expected(one.1, now) <= self.expected(other.1, now) { one } else { other };
+        Some(better.0.clone())
+    }
+
+    /// A request is sent to a server.
+    pub fn begin(&mut self, id: &str) {
+        if let Some(server) = self.by_id.get_mut(id) {
+            server.under_way += 1;
+        }
+    }
+
+    /// It has ended there.
+    pub fn end(&mut self, now: Millis, id: &str, sign: Sign) {
+        let Some(server) = self.by_id.get_mut(id) else { return };
+        server.under_way = server.under_way.saturating_sub(1);
+        match sign {
+            Sign::Good(took) => {
+                (server.answered, server.failures) = (Some(now), 0);
+                let cold = if now < server.cold_until { COLD } else { 1.0 };
+                let took = took.max(1) as f64 / cold;
+                let typical = self.typical.entry(server.told.service.clone()).or_insert(took);
+                server.slow += ((took / *typical).clamp(0.1, 10.0) - server.slow) * LEARN.0;
+                *typical += (took - *typical) * LEARN.1;
+            }
+            Sign::Full => server.avoid_until = server.avoid_until.max(now + AVOID.0 / 10),
+            Sign::Absent | Sign::Failed => {
+                let span = AVOID.0 << server.failures.min(AVOID.1);
+                if sign == Sign::Absent || server.failures > 0 {
+                    server.avoid_until = now + span;
+                }
+                server.failures += 1;
+            }
+            Sign::Nothing => {}
+        }
+    }
+
+    /// Mean time of a good answer of a service, ms, where one is known.
+    pub fn typical(&self, service: &str) -> Option<f64> {
+        self.typical.get(service).copied()
+    }
+}
--- /dev/null
+++ b/crates/marker/src/parts.rs
@@ -0,0 +1,72 @@
+//! What the parts of a marker share: what they keep, return and answer.
+
+use plugboard::kinds::Kind;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use trunk::words::{Between, Document, Down, Epoch, Node, Number};
+
+/// What has to last.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Keeping {
+    /// Who this marker is.
+    pub node: Node,
+    /// No epoch below this one is kept any more.
+    pub promised: Number,
+    /// The newest epoch that was kept.
+    pub epoch: Option<Epoch>,
+    /// The configuration that is held.
+    pub document: Option<Arc<Document>>,
+}
+
+/// An answer to a call of a server or an operator.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// It is done; with a body of JSON.
+    Json(String),
+    /// The configuration, as it was sent.
+    Document(Arc<Document>),
+    /// Another marker answers it.
+    Elsewhere(Ipv4Addr),
+    /// It is not done.
+    Fault(Kind, String),
+}
+
+impl Reply {
+    /// It is done, and there is nothing to say.
+    pub fn done() -> Reply {
+        Reply::Json("{}".into())
+    }
+
+    /// The configuration, as it was sent.
+    pub fn document(document: Arc<Document>) -> Reply {
+        Reply::Document(document)
+    }
+
+    /// Another marker answers it.
+    pub fn elsewhere(ip: Ipv4Addr) -> Reply {
+        Reply::Elsewhere(ip)
+    }
+
+    /// It is not done.
+    pub fn fault(kind: Kind, what: impl ToString) -> Reply {
+        Reply::Fault(kind, what.to_string())
+    }
+}
+
+/// Names a session of a gatekeeper within this process.
+pub type SessionId = u64;
+
+/// What a part returns.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Say this to another marker.
+    Send(Ipv4Addr, Between),
+    /// Say this to a gatekeeper.
+    Tell(SessionId, Down),
+    /// Put this on disk, and say the ticket when it is there.
+    Write(u64, Keeping),
+    /// Answer a call.
+    Answer(u64, Reply),
+    /// A configuration can't be lost any more.
+    Sure(Arc<Document>),
+}
--- /dev/null
+++ b/crates/marker/src/registry.rs
@@ -0,0 +1,249 @@
+//! Which servers there are, as their beats tell: soft state, the same at all markers soon.
+//!
+//! Of two words about one life of a server the one with the higher `call-sequence` holds; at the same sequence the
+//! later state does. A life that has deregistered never comes back; one that only fell silent does with its next beat.
+
+use plugboard::kinds::Kind;
+use plugboard::paths::At;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use trunk::words::{Instance, State};
+
+use crate::core::Millis;
+
+/// Beats that may be missed before a server counts as gone, and the time on top.
+const MISSED: (u64, Millis) = (4, 2_000);
+/// Lives that are gone are remembered for so long, so that late words about them change nothing.
+const REMEMBER: Millis = 30_000;
+/// Servers that are known at once.
+pub const SERVERS_MAX: usize = 20_000;
+/// Bytes of each text that a server gives.
+const TEXT_MAX: usize = 200;
+
+struct Entry {
+    instance: Instance,
+    at: Millis,
+}
+
+/// All servers that a marker knows.
+pub struct Registry {
+    entries: BTreeMap<String, Entry>,
+    beat: Millis,
+    /// Lives that have beaten here since the others were last told.
+    beaten: BTreeSet<String>,
+}
+
+/// Reads a beat.
+///
+/// # Errors
+///
+/// The kind and every fault, by its path.
+pub fn read_beat(id: &str, body: &[u8]) -> Result<Instance, (Kind, String)> {
+    let value: Value = serde_json::from_slice(body).map_err(|e| (Kind::Malformed, e.to_string()))?;
+    let at = At::whole(&value);
+    let text = |at: At| {
+        let text = at.name();
+        if text.len() > TEXT_MAX {
+            at.wrong("too long");
+        }
+        text.to_owned()
+    };
+    let (information, status) = (at.field("information"), at.field("status"));
+    let state = match status.field("state").text() {
+        "ready" => State::Ready,
+        "draining" => State::Draining,
+        _ => {
+            status.field("state").wrong("ready or draining is expected");
+            State::Draining
+        }
+    };
+    let address = text(at.field("address"));
+    if address.parse::<std::net::SocketAddrV4>().is_err() {
+        at.field("address").wrong("an address such as 10.128.0.9:8080 is expected");
+    }
+    let instance = Instance {
+        id: id.to_owned(),
+        service: text(information.field("service-name")),
+        address,
+        zone: text(information.field("zone")),
+        version: information.field("version").or("", At::text).chars().take(TEXT_MAX).collect(),
+        slots: information.field("capacity-slots").or(1, At::whole_number).clamp(1, 1 << 20) as u32,
+        state,
+        sequence: status.field("call-sequence").or(0, At::whole_number),
+        cold_ms: status.field("cold-remaining-ms").or(0, At::whole_number),
+    };
+    at.judge(instance).map_err(|faults| (Kind::Malformed, faults.to_string()))
+}
+
+/// Whether a word about a life of a server is newer than what is known.
+pub fn is_newer(word: &Instance, known: &Instance) -> bool {
+    (word.sequence, word.state) > (known.sequence, known.state)
+}
+
+impl Registry {
+    /// Without any server; they beat so often.
+    pub fn new(beat: Millis) -> Registry {
+        Registry { entries: BTreeMap::new(), beat: beat.max(1), beaten: BTreeSet::new() }
+    }
+
+    /// Takes in a beat that came here. Gives what the others have to be told, if anything.
+    pub fn on_beat(&mut self, now: Millis, instance: Instance) -> Vec<Instance> {
+        self.beaten.insert(instance.id.clone());
+        self.take(now, instance)
+    }
+
+    /// Takes in a word about a server. Gives what has changed.
+    pub fn take(&mut self, now: Millis, instance: Instance) -> Vec<Instance> {
+        if let Some(entry) = self.entries.get_mut(&instance.id) {
+            if !is_newer(&instance, &entry.instance) {
+                return Vec::new();
+            }
+            entry.at = now;
+            let changes =
+                entry.instance.state != instance.state || entry.instance.address != instance.address;
+            entry.instance = instance;
+            return changes.then(|| entry.instance.clone()).into_iter().collect();
+        }
+        if self.entries.len() >= SERVERS_MAX {
+            log::error!("more than {SERVERS_MAX} servers: {} is not taken in", instance.id);
+            return Vec::new();
+        }
+        let mut changed = Vec::new();
+        // Whoever had the address has ended.
+        if instance.state != State::Gone {
+            let same =
+                |e: &&mut Entry| e.instance.address == instance.address && e.instance.state != State::Gone;
+            for entry in self.entries.values_mut().filter(same) {
+                (entry.instance.state, entry.at) = (State::Gone, now);
+                changed.push(entry.instance.clone());
+            }
+        }
+        changed.push(instance.clone());
+        self.entries.insert(instance.id.clone(), Entry { instance, at: now });
+        changed
+    }
+
+    /// A server says that it ends.
+    pub fn on_leave(&mut self, now: Millis, id: &str) -> Vec<Instance> {
+        let Some(entry) = self.entries.get_mut(id) else { return Vec::new() };
+        let before = (entry.instance.state, entry.instance.sequence);
+        (entry.instance.state, entry.instance.sequence, entry.at) = (State::Gone, u64::MAX, now);
+        let changes = before != (State::Gone, u64::MAX);
+        changes.then(|| entry.instance.clone()).into_iter().collect()
+    }
+
+    /// Servers have beaten at another marker.
+    pub fn on_alive(&mut self, now: Millis, lives: &[(String, u64)]) -> Vec<Instance> {
+        let mut changed = Vec::new();
+        for (id, sequence) in lives {
+            let Some(entry) = self.entries.get_mut(id) else { continue };
+            if entry.instance.sequence < *sequence && entry.instance.state != State::Draining {
+                (entry.instance.sequence, entry.at) = (*sequence, now);
+                if entry.instance.state == State::Gone {
+                    entry.instance.state = State::Ready;
+                    changed.push(entry.instance.clone());
+                }
+            } else if entry.instance.state == State::Draining {
+                entry.at = now;
+            }
+        }
+        changed
+    }
+
+    /// Those that have beaten here since this was last asked.
+    pub fn beaten(&mut self) -> Vec<(String, u64)> {
+        let beaten = std::mem::take(&mut self.beaten);
+        let sequence = |id: String| self.entries.get(&id).map(|e| (id, e.instance.sequence));
+        beaten.into_iter().filter_map(sequence).filter(|(_, n)| *n != u64::MAX).collect()
+    }
+
+    /// All that are not gone, as others are to know them.
+    pub fn all(&self) -> Vec<Instance> {
+        self.entries.values().map(|e| &e.instance).filter(|i| i.state != State::Gone).cloned().collect()
+    }
+
+    /// Servers whose beats have stopped are gone, unless `deaf`: then it may be the beats that don't get here.
+    pub fn on_tick(&mut self, now: Millis, deaf: bool) -> Vec<Instance> {
+        let silent = MISSED.0 * self.beat + MISSED.1;
+        let mut changed = Vec::new();
+        for entry in self.entries.values_mut().filter(|e| e.instance.state != State::Gone) {
+            if deaf {
+                entry.at = entry.at.max(now.saturating_sub(silent / 2));
+            } else if now > entry.at + silent {
+                (entry.instance.state, entry.at) = (State::Gone, now);
+                changed.push(entry.instance.clone());
+            }
+        }
+        self.entries.retain(|_, e| e.instance.state != State::Gone || now < e.at + REMEMBER);
+        changed
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use googletest::prelude::*;
+
+    fn server(id: &str, sequence: u64, state: State) -> Instance {
+        Instance {
+            id: id.into(),
+            service: "s".into(),
+            address: format!("10.0.0.{}:80", id.len()),
+            zone: "a".into(),
+            version: "v1".into(),
+            slots: 2,
+            state,
+            sequence,
+            cold_ms: 0,
+        }
+    }
+
+    #[gtest]
+    fn a_server_starts_drains_and_goes_and_late_words_change_nothing() {
+        let mut registry = Registry::new(1_500);
+        expect_that!(registry.on_beat(0, server("x", 1, State::Ready)).len(), eq(1));
+        expect_that!(registry.on_beat(1_500, server("x", 2, State::Ready)).len(), eq(0));
+        expect_that!(registry.on_beat(2_000, server("x", 4, State::Draining)).len(), eq(1));
+        expect_that!(registry.on_beat(2_100, server("x", 3, State::Ready)).len(), eq(0));
+        expect_that!(registry.all()[0].state, eq(State::Draining));
+        expect_that!(registry.on_leave(3_000, "x").len(), eq(1));
+        expect_that!(registry.on_leave(3_000, "x").len(), eq(0));
+        expect_that!(registry.on_beat(3_100, server("x", 5, State::Ready)).len(), eq(0));
+        expect_true!(registry.all().is_empty());
+    }
+
+    #[gtest]
+    fn silence_ends_a_server_unless_the_marker_may_be_deaf_and_a_beat_brings_it_back() {
+        let mut registry = Registry::new(1_500);
+        registry.on_beat(0, server("x", 1, State::Ready));
+        registry.on_beat(0, server("xx", 1, State::Ready));
+        expect_that!(registry.on_alive(7_000, &[("xx".into(), 5)]).len(), eq(0));
+        expect_that!(registry.on_tick(8_001, true).len(), eq(0));
+        expect_that!(registry.on_tick(12_002, false)[0].id, eq("x"));
+        expect_that!(registry.all().len(), eq(1));
+        expect_that!(registry.on_alive(13_000, &[("x".into(), 9)])[0].state, eq(State::Ready));
+        expect_that!(registry.all().len(), eq(2));
+    }
+
+    #[gtest]
+    fn an_address_belongs_to_the_newest_life() {
+        let mut registry = Registry::new(1_500);
+        registry.on_beat(0, server("x", 7, State::Ready));
+        let changed = registry.on_beat(10, server("y", 1, State::Ready));
+        let told: Vec<(&str, State)> = changed.iter().map(|i| (i.id.as_str(), i.state)).collect();
+        expect_that!(told, eq(&vec![("x", State::Gone), ("y", State::Ready)]));
+    }
+
+    #[gtest]
+    fn a_beat_is_read_or_refused_by_its_paths() {
+        let good = r#"{"address":"10.128.0.9:8080","information":{"service-name":"h","version":"v1","zone":"z",
+            "capacity-slots":2},"status":{"state":"ready","call-sequence":4,"cold-remaining-ms":0}}"#;
+        let read = read_beat("i", good.as_bytes()).unwrap();
+        expect_that!((read.slots, read.sequence, read.state), eq((2, 4, State::Ready)));
+        let bad = good.replace("10.128.0.9:8080", "nowhere").replace("\"ready\"", "\"fine\"");
+        let (kind, text) = read_beat("i", bad.as_bytes()).unwrap_err();
+        expect_that!(kind, eq(Kind::Malformed));
+        expect_that!(text, all!(contains_substring("address:"), contains_substring("status.state:")));
+        expect_true!(read_beat("i", b"{").is_err());
+    }
+}
--- /dev/null
+++ b/crates/marker/src/run.rs
@@ -0,0 +1,333 @@
+//! What joins a marker's state machine to sockets, disk and signals.
+
+use crate::calls;
+use crate::core::{self, Core, Millis};
+use crate::parts::{Keeping, Output, Reply, SessionId};
+use crate::state::Marker;
+use crate::store::{self, Store};
+use granitelead_base::Backoff;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::Request;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use plugboard::settings::{self, Settings};
+use snafu::{ResultExt, Snafu};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use trunk::line::{self, Sender};
+use trunk::words::Word;
+
+/// How often the state machine looks at the time.
+const TICK: Duration = Duration::from_millis(25);
+/// A peer that says nothing for so long is gone: it would have said something ten times.
+const SILENCE: Duration = Duration::from_secs(2);
+/// A line that only goes out hears nothing.
+const NEVER: Duration = Duration::from_secs(1 << 20);
+/// Connections of servers and operators at once.
+const CONNECTIONS_MAX: usize = 1_000;
+/// How often the settings file is looked at.
+const SETTINGS: Duration = Duration::from_secs(2);
+/// How long a marker that was told to end goes on, so that whoever takes over has done so.
+const LEAVE: Duration = Duration::from_millis(400);
+
+/// Why a marker ends.
+#[derive(Debug, Snafu)]
+pub enum Failure {
+    /// An address can't be listened at.
+    #[snafu(display("{address}: {source}"))]
+    Listen {
+        /// Which.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The folder can't be used.
+    #[snafu(display("{source}"))]
+    Folder {
+        /// Why.
+        source: store::Fault,
+    },
+    /// A signal can't be waited for.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// One marker in its process.
+struct Exchange {
+    marker: RefCell<Marker>,
+    begun: Instant,
+    control: SocketAddrV4,
+    internal_port: u16,
+    writes: mpsc::Sender<(u64, Keeping)>,
+    lines: RefCell<BTreeMap<Ipv4Addr, Sender>>,
+    sessions: RefCell<BTreeMap<SessionId, Sender>>,
+    calls: RefCell<BTreeMap<u64, oneshot::Sender<Reply>>>,
+    next: Cell<u64>,
+    connections: Cell<usize>,
+    leaving: Cell<bool>,
+}
+
+impl Exchange {
+    fn now(&self) -> Millis {
+        self.begun.elapsed().as_millis() as Millis
+    }
+
+    fn number(&self) -> u64 {
+        self.next.set(self.next.get() + 1);
+        self.next.get()
+    }
+
+    /// Has the state machine take something in, and does what it returns.
+    fn step(self: &Rc<Self>, take: impl FnOnce(&mut Marker, Millis, &mut Vec<Output>)) {
+        let mut out = Vec::new();
+        take(&mut self.marker.borrow_mut(), self.now(), &mut out);
+        for output in out {
+            match output {
+                Output::Send(ip, word) => {
+                    let me = self.marker.borrow().me();
+                    if let Some(line) = self.lines.borrow().get(&ip) {
+                        line.send(&Word::Between(me, word));
+                    }
+                }
+                Output::Tell(id, word) => {
+                    if let Some(session) = self.sessions.borrow().get(&id) {
+                        session.send(&Word::Down(word));
+                    }
+                }
+                Output::Write(ticket, keeping) => {
+                    // The writer ends with the process only.
+                    let _ = self.writes.send((ticket, keeping));
+                }
+                Output::Answer(id, reply) => {
+                    if let Some(call) = self.calls.borrow_mut().remove(&id) {
+                        // Whoever called may have gone.
+                        let _ = call.send(reply);
+                    }
+                }
+                Output::Sure(_) => {}
+            }
+        }
+        let known = self.marker.borrow().known();
+        let missing: Vec<Ipv4Addr> = {
+            let lines = self.lines.borrow();
+            known.into_iter().filter(|ip| !lines.contains_key(ip)).collect()
+        };
+        for ip in missing {
+            self.lines.borrow_mut().insert(ip, Sender::default());
+            spawn_local(hold_line(self.clone(), ip));
+        }
+    }
+}
+
+/// Holds a connection to another marker as long as that is known.
+async fn hold_line(exchange: Rc<Exchange>, ip: Ipv4Addr) {
+    let mut backoff = Backoff::new(fastrand::u64(..));
+    let to = SocketAddr::from((ip, exchange.internal_port));
+    while exchange.marker.borrow().known().contains(&ip) {
+        let stream = match line::dial(to).await {
+            Ok(stream) => stream,
+            Err(ended) => {
+                log::info!("{ip}: {ended}");
+                backoff.wait().await;
+                continue;
+            }
+        };
+        backoff.reset();
+        let sender = Sender::default();
+        exchange.lines.borrow_mut().insert(ip, sender.clone());
+        exchange.step(|marker, _, out| marker.on_line(ip, true, out));
+        let ended = line::carry(stream, sender, NEVER, |_| {}).await;
+        log::info!("{ip}: {ended}");
+        exchange.step(|marker, _, out| marker.on_line(ip, false, out));
+        backoff.wait().await;
+    }
+    exchange.lines.borrow_mut().remove(&ip);
+}
+
+/// What another process says on a connection that it opened.
+async fn take_in(exchange: Rc<Exchange>, stream: TcpStream) {
+    let id = exchange.number();
+    let sender = Sender::default();
+    let taken = exchange.clone();
+    let back = sender.clone();
+    let ended = line::carry(stream, sender.clone(), SILENCE, move |word| match word {
+        Word::Between(from, word) => taken.step(|marker, now, out| marker.on_word(now, from, word, out)),
+        Word::Up(word) => {
+            taken.sessions.borrow_mut().entry(id).or_insert_with(|| back.clone());
+            taken.step(|marker, now, out| marker.on_up(now, id, word, out));
+        }
+        Word::Down(_) => back.close(),
+    })
+    .await;
+    if exchange.sessions.borrow_mut().remove(&id).is_some() {
+        let left = matches!(ended, line::Ended::Closed | line::Ended::Broken { .. });
+        log::info!("session {id}: {ended}");
+        exchange.marker.borrow_mut().on_closed(id, left);
+    }
+}
+
+async fn answer(
+    exchange: Rc<Exchange>,
+    request: Request<Incoming>,
+) -> Result<hyper::Response<http_body_util::Full<bytes::Bytes>>, Infallible> {
+    let path = request.uri().path().to_owned();
+    let reply = match calls::read(request).await {
+        Err(reply) => reply,
+        Ok(call) => {
+            let (send, answer) = oneshot::channel();
+            let id = exchange.number();
+            exchange.calls.borrow_mut().insert(id, send);
+            exchange.step(|marker, now, out| marker.on_call(now, id, call, out));
+            let reply = answer.await;
+            reply.unwrap_or_else(|_| Reply::fault(plugboard::kinds::Kind::Internal, "no answer"))
+        }
+    };
+    Ok(calls::write(reply, &path, exchange.control, exchange.leaving.get()))
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Failure> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(e) => {
+                log::info!("accept: {e}");
+                tokio::time::sleep(granitelead_base::ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn take_control(exchange: Rc<Exchange>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        if exchange.connections.get() >= CONNECTIONS_MAX {
+            continue;
+        }
+        exchange.connections.set(exchange.connections.get() + 1);
+        let exchange = exchange.clone();
+        spawn_local(async move {
+            let taken = exchange.clone();
+            let service = service_fn(move |request| answer(taken.clone(), request));
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(Duration::from_secs(15))
+                .max_buf_size(64 << 10)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(e) = served {
+                log::info!("control: {e}");
+            }
+            exchange.connections.set(exchange.connections.get() - 1);
+        });
+    }
+}
+
+/// Runs a marker until it is told to end.
+///
+/// # Errors
+///
+/// Why it can't go on.
+pub async fn serve(settings: Settings, control: SocketAddrV4) -> Result<(), Failure> {
+    let seeds = ips(&settings);
+    let mut store = match &settings.folder {
+        Some(folder) => Store::open(std::path::Path::new(folder)).context(FolderSnafu)?,
+        None => Store::in_memory().context(FolderSnafu)?,
+    };
+    let first_start = settings.first_start && settings.folder.is_some();
+    let kept = store.read().context(FolderSnafu)?;
+    let keeping = match kept {
+        Some(kept) if kept.node.ip == settings.ip => kept,
+        _ => {
+            let begin = core::begin(settings.ip, &seeds, first_start, fastrand::u64(..));
+            store.write(&begin).context(FolderSnafu)?;
+            begin
+        }
+    };
+    let (writes, to_write) = mpsc::channel();
+    let (written, mut is_written) = tokio::sync::mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        store::run(store, &to_write, |ticket| {
+            // The process may be ending.
+            let _ = written.send(ticket);
+        })
+    });
+
+    let inner = listen(SocketAddr::from((settings.ip, settings.internal_port))).await?;
+    let outer = listen(control.into()).await?;
+    let core = Core::new(keeping, &seeds, settings.losses, fastrand::u64(..), 0);
+    let exchange = Rc::new(Exchange {
+        marker: RefCell::new(Marker::new(core, settings.zone.clone(), settings.beat.as_millis() as Millis)),
+        begun: Instant::now(),
+        control,
+        internal_port: settings.internal_port,
+        writes,
+        lines: RefCell::default(),
+        sessions: RefCell::default(),
+        calls: RefCell::default(),
+        next: Cell::new(0),
+        connections: Cell::new(0),
+        leaving: Cell::new(false),
+    });
+    let taken = exchange.clone();
+    spawn_local(async move {
+        loop {
+            let stream = accept(&inner).await;
+            spawn_local(take_in(taken.clone(), stream));
+        }
+    });
+    spawn_local(take_control(exchange.clone(), outer));
+    let taken = exchange.clone();
+    spawn_local(async move {
+        while let Some(ticket) = is_written.recv().await {
+            taken.step(|marker, now, out| marker.on_written(now, ticket, out));
+        }
+    });
+    let taken = exchange.clone();
+    spawn_local(async move {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            taken.step(|marker, now, out| marker.on_tick(now, out));
+        }
+    });
+    let (mut term, mut hup) = (
+        signal(SignalKind::terminate()).context(SignalsSnafu)?,
+        signal(SignalKind::hangup()).context(SignalsSnafu)?,
+    );
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => {}
+            () = tokio::time::sleep(SETTINGS) => {}
+        }
+        match settings::load() {
+            Ok(settings) => exchange.marker.borrow_mut().reseed(&ips(&settings)),
+            Err(faults) => log::warn!("settings, which stay as they were: {faults}"),
+        }
+    }
+    exchange.leaving.set(true);
+    exchange.step(|marker, now, out| marker.on_leave(now, out));
+    tokio::time::sleep(LEAVE).await;
+    Ok(())
+}
+
+fn ips(settings: &Settings) -> Vec<Ipv4Addr> {
+    settings.seeds.iter().map(|seed| *seed.ip()).collect()
+}
--- /dev/null
+++ b/crates/marker/src/sessions.rs
@@ -0,0 +1,177 @@
+//! Sessions of gatekeepers: who is a member, what each was told, and what waits until all know it.
+
+use crate::core::Millis;
+use crate::parts::{Output, SessionId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use trunk::words::{Document, Down, Instance, News};
+
+/// How long something may wait until all know it; servers wait a second for their answer.
+const KNOWN: Millis = 550;
+/// Sessions at once.
+pub const SESSIONS_MAX: usize = 2_000;
+
+/// Who is told once all know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Waiter {
+    /// The server that made this call.
+    Call(u64),
+    /// The marker that passed it on, under its ticket.
+    Marker(Ipv4Addr, u64),
+}
+
+struct Session {
+    life: u64,
+    name: String,
+    sent: u64,
+    got: u64,
+    has: Option<u32>,
+}
+
+struct Wait {
+    waiter: Waiter,
+    sessions: BTreeMap<SessionId, u64>,
+    markers: BTreeSet<Ipv4Addr>,
+    ticket: u64,
+    until: Millis,
+}
+
+/// All sessions at a marker.
+#[derive(Default)]
+pub struct Sessions {
+    sessions: BTreeMap<SessionId, Session>,
+    waits: Vec<Wait>,
+    ticket: u64,
+}
+
+impl Sessions {
+    /// A gatekeeper opens a session; it is told all.
+    #[allow(clippy::too_many_arguments)] // All that a session begins with.
+    pub fn open(
+        &mut self,
+        id: SessionId,
+        life: u64,
+        name: String,
+        has: Option<u32>,
+        sure: Option<&Arc<Document>>,
+        servers: Vec<Instance>,
+        markers: Vec<Ipv4Addr>,
+        zone: &str,
+        out: &mut Vec<Output>,
+    ) {
+        if self.sessions.len() >= SESSIONS_MAX {
+            log::error!("more than {SESSIONS_MAX} sessions: {name} is not taken in");
+            return;
+        }
+        self.sessions.insert(id, Session { life, name, sent: 0, got: 0, has });
+        if let Some(document) = sure.filter(|d| has.is_none_or(|has| has < d.version)) {
+            self.tell(id, News::Configuration(Document::clone(document)), out);
+        }
+        self.tell(id, News::Servers(servers), out);
+        self.tell(id, News::Markers(markers), out);
+        self.tell(id, News::Whole(zone.to_owned()), out);
+    }
+
+    /// A session ends.
+    pub fn close(&mut self, id: SessionId) {
+        self.sessions.remove(&id);
+        for wait in &mut self.waits {
+            wait.sessions.remove(&id);
+        }
+    }
+
+    /// Tells one how many gatekeepers there are.
+    pub fn count_news(&mut self, id: SessionId, count: u32) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.tell(id, News::Gatekeepers(count), &mut out);
+        out
+    }
+
+    /// The life of a session's gatekeeper.
+    pub fn life(&self, id: SessionId) -> Option<u64> {
+        self.sessions.get(&id).map(|s| s.life)
+    }
+
+    /// The name of a session's gatekeeper.
+    pub fn name(&self, id: SessionId) -> Option<String> {
+        self.sessions.get(&id).map(|s| s.name.clone())
+    }
+
+    /// Lives and names of the gatekeepers with these sessions.
+    pub fn names(&self, lives: &[u64]) -> Vec<(u64, String)> {
+        let meant = self.sessions.values().filter(|s| lives.contains(&s.life));
+        meant.map(|s| (s.life, s.name.clone())).collect()
+    }
+
+    /// How many of all sessions have this configuration in force.
+    pub fn have(&self, version: u32) -> (usize, usize) {
+        (self.sessions.values().filter(|s| s.has >= Some(version)).count(), self.sessions.len())
+    }
+
+    fn tell(&mut self, id: SessionId, news: News, out: &mut Vec<Output>) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.sent += 1;
+            out.push(Output::Tell(id, Down::News(session.sent, news)));
+        }
+    }
+
+    /// Tells all.
+    pub fn tell_all(&mut self, news: &News, out: &mut Vec<Output>) {
+        let ids: Vec<SessionId> = self.sessions.keys().copied().collect();
+        for id in ids {
+            self.tell(id, news.clone(), out);
+        }
+    }
+
+    /// A gatekeeper has taken in all news up to this number.
+    pub fn on_got(&mut self, id: SessionId, number: u64) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.got = session.got.max(number.min(session.sent));
+            let got = session.got;
+            for wait in &mut self.waits {
+                if wait.sessions.get(&id).is_some_and(|sent| *sent <= got) {
+                    wait.sessions.remove(&id);
+                }
+            }
+        }
+    }
+
+    /// A gatekeeper has a configuration in force.
+    pub fn on_has(&mut self, id: SessionId, version: u32) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.has = session.has.max(Some(version));
+        }
+    }
+
+    /// Waits until all gatekeepers with sessions here know what they were told so far, and these markers say the
+    /// same of theirs. Gives the ticket under which the markers are to say so.
+    pub fn wait(&mut self, now: Millis, waiter: Waiter, markers: &[Ipv4Addr]) -> u64 {
+        self.ticket += 1;
+        let behind = self.sessions.iter().filter(|(_, s)| s.got < s.sent);
+        let sessions = behind.map(|(id, s)| (*id, s.sent)).collect();
+        let (markers, until) = (markers.iter().copied().collect(), now + KNOWN);
+        self.waits.push(Wait { waiter, sessions, markers, ticket: self.ticket, until });
+        self.ticket
+    }
+
+    /// All gatekeepers of another marker know what it was told under this ticket.
+    pub fn on_told(&mut self, from: Ipv4Addr, ticket: u64) {
+        for wait in self.waits.iter_mut().filter(|wait| wait.ticket == ticket) {
+            wait.markers.remove(&from);
+        }
+    }
+
+    /// Those who need not wait any longer: because all know, or because somebody is not in touch.
+    pub fn known(&mut self, now: Millis) -> Vec<Waiter> {
+        let mut known = Vec::new();
+        self.waits.retain(|wait| {
+            let ends = (wait.sessions.is_empty() && wait.markers.is_empty()) || now >= wait.until;
+            if ends {
+                known.push(wait.waiter);
+            }
+            !ends
+        });
+        known
+    }
+}
--- /dev/null
+++ b/crates/marker/src/state.rs
@@ -0,0 +1,356 @@
+//! One marker as a state machine: calls, words and ticks come in; what to send, write and answer goes out.
+
+use crate::core::{Core, Millis, View};
+use crate::parts::{Output, Reply, SessionId};
+use crate::registry::{self, Registry};
+use crate::sessions::{Sessions, Waiter};
+use crate::tally::Tally;
+use plugboard::configuration;
+use plugboard::kinds::Kind;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+use trunk::words::{Between, Document, Down, Instance, News, Node, State, Up};
+
+/// How often totals go out, and what servers have beaten here.
+const TOTALS: Millis = 100;
+/// See [`TOTALS`].
+const ALIVE: Millis = 700;
+/// How often markers tell each other their sessions.
+const SESSIONS: Millis = 500;
+/// A gatekeeper that no marker has a session with is counted for so long all the same: it may be cut off, and
+/// goes on letting in its part.
+const MISSED: Millis = 12_000;
+
+/// What is known of another marker.
+#[derive(Default)]
+struct Peer {
+    /// Whether it was sent all servers since the connection came up.
+    greeted: bool,
+}
+
+/// One marker.
+pub struct Marker {
+    core: Core,
+    zone: String,
+    registry: Registry,
+    sessions: Sessions,
+    tally: Tally,
+    peers: BTreeMap<Ipv4Addr, Peer>,
+    /// Gatekeepers that were members lately, by name: when last, and the life.
+    members: BTreeMap<String, (Millis, u64)>,
+    told_members: u32,
+    told_markers: Vec<Ipv4Addr>,
+    totals_at: Millis,
+    alive_at: Millis,
+    sessions_at: Millis,
+}
+
+/// A call of a server or an operator, taken apart.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    /// A server says that it is there, or that it will leave.
+    Beat {
+        /// Its life.
+        id: String,
+        /// What it says.
+        body: Vec<u8>,
+    },
+    /// A server ends.
+    Leave {
+        /// Its life.
+        id: String,
+    },
+    /// An operator sends a configuration.
+    Replace {
+        /// As it was sent.
+        body: Vec<u8>,
+    },
+    /// An operator asks for the newest.
+    Read,
+    /// An operator asks how things are.
+    Status,
+}
+
+impl Marker {
+    /// One whose core has kept what it has; servers beat so often.
+    pub fn new(core: Core, zone: String, beat: Millis) -> Marker {
+        Marker {
+            core,
+            zone,
+            registry: Registry::new(beat),
+            sessions: Sessions::default(),
+            tally: Tally::default(),
+            peers: BTreeMap::new(),
+            members: BTreeMap::new(),
+            told_members: 0,
+            told_markers: Vec::new(),
+            totals_at: 0,
+            alive_at: 0,
+            sessions_at: 0,
+        }
+    }
+
+    /// This marker.
+    pub fn me(&self) -> Node {
+        self.core.me()
+    }
+
+    /// The core from outside.
+    pub fn view(&self) -> View {
+        self.core.view()
+    }
+
+    /// All other markers, to hold connections to.
+    pub fn known(&self) -> BTreeSet<Ipv4Addr> {
+        self.core.known()
+    }
+
+    /// The settings name other seeds.
+    pub fn reseed(&mut self, seeds: &[Ipv4Addr]) {
+        self.core.reseed(seeds);
+    }
+
+    /// A call comes; it is answered under its number.
+    pub fn on_call(&mut self, now: Millis, id: u64, call: Call, out: &mut Vec<Output>) {
+        match call {
+            Call::Beat { id: life, body } => match registry::read_beat(&life, &body) {
+                Err((kind, text)) => out.push(Output::Answer(id, Reply::Fault(kind, text))),
+                Ok(instance) => {
+                    let leaves = instance.state != State::Ready;
+                    let changed = self.registry.on_beat(now, instance);
+                    self.spread(now, id, leaves, changed, out);
+                }
+            },
+            Call::Leave { id: life } => {
+                let changed = self.registry.on_leave(now, &life);
+                self.spread(now, id, true, changed, out);
+            }
+            Call::Replace { body } => match configuration::parse(&body) {
+                Err(faults) => {
+                    out.push(Output::Answer(id, Reply::Fault(Kind::Configuration, faults.to_string())));
+                }
+                Ok(read) => {
+                    let document = Document { version: read.version, bytes: body };
+                    self.core.on_replace(now, id, document, out);
+                }
+            },
+            Call::Read => self.core.on_read(now, id, out),
+            Call::Status => out.push(Output::Answer(id, Reply::Json(self.status()))),
+        }
+        self.after(now, out);
+    }
+
+    /// Tells all what has changed of servers. A server that leaves is answered once all know.
+    fn spread(&mut self, now: Millis, id: u64, leaves: bool, changed: Vec<Instance>, out: &mut Vec<Output>) {
+        if !changed.is_empty() {
+            self.sessions.tell_all(&News::Servers(changed.clone()), out);
+        }
+        let live = self.core.live();
+        // Also where nothing is new here: an answer may have been lost before all knew.
+        let ticket = if leaves {
+            let again: &[Ipv4Addr] = if changed.is_empty() { &[] } else { &live };
+            self.sessions.wait(now, Waiter::Call(id), again)
+        } else {
+            out.push(Output::Answer(id, Reply::done()));
+            0
+        };
+        if !changed.is_empty() {
+            for ip in self.core.known() {
+                out.push(Output::Send(ip, Between::Servers(ticket, changed.clone())));
+            }
+        }
+    }
+
+    /// Another marker says something.
+    pub fn on_word(&mut self, now: Millis, from: Node, word: Between, out: &mut Vec<Output>) {
+        match word {
+            Between::Servers(ticket, servers) => {
+                let changed: Vec<Instance> =
+                    servers.into_iter().flat_map(|server| self.registry.take(now, server)).collect();
+                if !changed.is_empty() {
+                    self.sessions.tell_all(&News::Servers(changed), out);
+                }
+                if ticket > 0 {
+                    self.sessions.wait(now, Waiter::Marker(from.ip, ticket), &[]);
+                }
+            }
+            Between::Told(ticket) => self.sessions.on_told(from.ip, ticket),
+            Between::Alive(lives) => {
+                let changed = self.registry.on_alive(now, &lives);
+                if !changed.is_empty() {
+                    self.sessions.tell_all(&News::Servers(changed), out);
+                }
+            }
+            Between::Sessions(members) => {
+                self.members.extend(members.into_iter().map(|(life, name)| (name, (now, life))));
+            }
+            Between::Adds(adds) => self.tally.count(&adds),
+            word => self.core.on_word(now, from, word, out),
+        }
+        self.after(now, out);
+    }
+
+    /// A connection to another marker is up, or down.
+    pub fn on_line(&mut self, ip: Ipv4Addr, up: bool, out: &mut Vec<Output>) {
+        let peer = self.peers.entry(ip).or_default();
+        if up && !peer.greeted {
+            let all = self.registry.all();
+            if !all.is_empty() {
+                out.push(Output::Send(ip, Between::Servers(0, all)));
+            }
+        }
+        peer.greeted = up;
+    }
+
+    /// A gatekeeper says something.
+    pub fn on_up(&mut self, now: Millis, session: SessionId, word: Up, out: &mut Vec<Output>) {
+        match word {
+            Up::Hello { life, name, has, servers } => {
+                // What it knows may be more than is known here, after a start of all.
+                let mut changed = Vec::new();
+                for server in servers {
+                    changed.extend(self.registry.take(now, server));
+                }
+                if !changed.is_empty() {
+                    self.sessions.tell_all(&News::Servers(changed), out);
+                }
+                let (all, markers) = (self.registry.all(), self.markers());
+                self.sessions.open(session, life, name, has, self.core.sure(), all, markers, &self.zone, out);
+                let count = self.told_members.max(1);
+                out.extend(self.sessions.count_news(session, count));
+            }
+            Up::Home(home) => {
+                self.tally.close(session);
+                if let (true, Some(life)) = (home, self.sessions.life(session)) {
+                    self.tally.open(session, life);
+                }
+                self.sessions_at = 0;
+            }
+            Up::Got(number) => self.sessions.on_got(session, number),
+            Up::Has(version) => self.sessions.on_has(session, version),
+            Up::Adds(number, adds) => self.tally.on_adds(session, number, &adds),
+            Up::Ping => out.push(Output::Tell(session, Down::Pong)),
+        }
+        self.after(now, out);
+    }
+
+    /// A session ends; `left` says that its process ended or left, and is not merely silent.
+    pub fn on_closed(&mut self, session: SessionId, left: bool) {
+        if let (true, Some(name)) = (left, self.sessions.name(session)) {
+            self.members.remove(&name);
+        }
+        self.tally.close(session);
+        self.sessions.close(session);
+    }
+
+    /// All writes up to this ticket are on disk.
+    pub fn on_written(&mut self, now: Millis, ticket: u64, out: &mut Vec<Output>) {
+        self.core.on_written(now, ticket, out);
+        self.after(now, out);
+    }
+
+    /// The process is about to end.
+    pub fn on_leave(&mut self, now: Millis, out: &mut Vec<Output>) {
+        self.core.on_leave(now, out);
+    }
+
+    /// Time passes.
+    pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Output>) {
+        self.core.on_tick(now, out);
+        let gone = self.registry.on_tick(now, !self.core.hears_most());
+        if !gone.is_empty() {
+            self.sessions.tell_all(&News::Servers(gone), out);
+        }
+        let peers: Vec<Ipv4Addr> = self.core.live();
+        if now >= self.totals_at + TOTALS {
+            self.totals_at = now;
+            let batch = self.tally.batch();
+            if !batch.is_empty() {
+                out.extend(peers.iter().map(|ip| Output::Send(*ip, Between::Adds(batch.clone()))));
+            }
+            let news = self.tally.news().into_iter();
+            out.extend(news.map(|(id, number, totals)| Output::Tell(id, Down::Totals(number, totals))));
+        }
+        if now >= self.alive_at + ALIVE {
+            self.alive_at = now;
+            let beaten = self.registry.beaten();
+            if !beaten.is_empty() {
+                out.extend(peers.iter().map(|ip| Output::Send(*ip, Between::Alive(beaten.clone()))));
+            }
+        }
+        if now >= self.sessions_at + SESSIONS {
+            self.sessions_at = now;
+            let here = self.sessions.names(&self.tally.lives());
+            out.extend(peers.iter().map(|ip| Output::Send(*ip, Between::Sessions(here.clone()))));
+            self.members.extend(here.into_iter().map(|(life, name)| (name, (now, life))));
+            self.members.retain(|_, (at, _)| now < *at + MISSED);
+            let members = self.members.len() as u32;
+            if members != self.told_members {
+                self.told_members = members;
+                self.sessions.tell_all(&News::Gatekeepers(members), out);
+            }
+            let markers = self.markers();
+            if markers != self.told_markers {
+                self.told_markers.clone_from(&markers);
+                self.sessions.tell_all(&News::Markers(markers), out);
+            }
+        }
+        self.after(now, out);
+    }
+
+    fn markers(&self) -> Vec<Ipv4Addr> {
+        let mut markers = self.core.live();
+        markers.push(self.core.me().ip);
+        markers.sort();
+        markers
+    }
+
+    /// What follows from anything.
+    fn after(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let sure: Vec<_> = out
+            .iter()
+            .filter_map(|o| match o {
+                Output::Sure(document) => Some(document.clone()),
+                _ => None,
+            })
+            .collect();
+        out.retain(|o| !matches!(o, Output::Sure(_)));
+        for document in sure {
+            self.sessions.tell_all(&News::Configuration(Document::clone(&document)), out);
+        }
+        for waiter in self.sessions.known(now) {
+            out.push(match waiter {
+                Waiter::Call(id) => Output::Answer(id, Reply::done()),
+                Waiter::Marker(ip, ticket) => Output::Send(ip, Between::Told(ticket)),
+            });
+        }
+    }
+
+    fn status(&self) -> String {
+        let view = self.core.view();
+        let ip = |node: &Node| node.ip.to_string();
+        let epoch = view.epoch.as_ref().map(|e| {
+            serde_json::json!({
+                "round": e.number.round,
+                "core": e.core.iter().map(ip).collect::<Vec<_>>(),
+                "primary": e.primary.as_ref().map(ip),
+                "backups": e.backups.iter().map(ip).collect::<Vec<_>>(),
+            })
+        });
+        let (have, of) = view.sure.map_or((0, 0), |version| self.sessions.have(version));
+        serde_json::json!({
+            "marker": self.me().ip.to_string(),
+            "leads": view.leads,
+            "epoch": epoch,
+            "version": view.sure.map(|v| format!("{v:08x}")),
+            "sessions": of,
+            "sessions-with-version": have,
+            "gatekeepers": self.members.keys().collect::<Vec<_>>(),
+            "markers": self.markers().iter().map(ToString::to_string).collect::<Vec<_>>(),
+            "servers": self.registry.all().len(),
+            "rounds-begun": view.rounds.0,
+            "rounds-won": view.rounds.1,
+        })
+        .to_string()
+    }
+}
--- /dev/null
+++ b/crates/marker/src/store.rs
@@ -0,0 +1,238 @@
+//! What a marker keeps on disk: one writer, in a thread of its own, so that a slow disk holds up nothing else.
+//!
+//! Each write is a whole [`Keeping`]; of those that wait only the newest is written, and all of them are then said to
+//! be there. A write that fails is tried again: what can't be kept is never answered for.
+
+use crate::parts::Keeping;
+use rusqlite::{params, Connection, OptionalExtension};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use snafu::{ResultExt, Snafu};
+use std::path::Path;
+use std::sync::mpsc;
+use std::sync::Arc;
+use std::time::Duration;
+use trunk::words::Document;
+
+/// The form of the folder. Another form is not read.
+const FORM: i64 = 1;
+/// The file in the folder.
+const FILE: &str = "marker.sqlite";
+/// Pause after a write that failed.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// Why the folder can't be used.
+#[derive(Debug, Snafu)]
+pub enum Fault {
+    /// SQLite says no.
+    #[snafu(display("{file}: {source}"))]
+    Disk {
+        /// Which file.
+        file: String,
+        /// Why.
+        source: rusqlite::Error,
+    },
+    /// It was written by another form of the program.
+    #[snafu(display(
+        "{file}: its form is {form}, this program writes form {FORM}; move the folder away to begin anew"
+    ))]
+    Form {
+        /// Which file.
+        file: String,
+        /// Its form.
+        form: i64,
+    },
+    /// It holds what this program does not write.
+    #[snafu(display("{file}: {name} can't be read: {text}"))]
+    Content {
+        /// Which file.
+        file: String,
+        /// Which value.
+        name: String,
+        /// Why.
+        text: String,
+    },
+}
+
+/// The folder of a marker.
+pub struct Store {
+    disk: Connection,
+    file: String,
+    /// The document that is there.
+    document: Option<Arc<Document>>,
+}
+
+impl Store {
+    /// Opens the folder, which may be empty.
+    ///
+    /// # Errors
+    ///
+    /// Why it can't be used.
+    pub fn open(folder: &Path) -> Result<Store, Fault> {
+        let path = folder.join(FILE);
+        let file = path.display().to_string();
+        let disk = Connection::open(&path).context(DiskSnafu { file: &file })?;
+        Store::of(disk, file)
+    }
+
+    /// A store in memory, for markers without a folder.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::open`].
+    pub fn in_memory() -> Result<Store, Fault> {
+        let file = "memory".to_owned();
+        let disk = Connection::open_in_memory().context(DiskSnafu { file: &file })?;
+        Store::of(disk, file)
+    }
+
+    fn of(disk: Connection, file: String) -> Result<Store, Fault> {
+        let begin = || -> rusqlite::Result<i64> {
+            // One process has the folder, and its memory is little.
+            disk.pragma_update(None, "locking_mode", "EXCLUSIVE")?;
+            disk.pragma_update(None, "journal_mode", "WAL")?;
+            disk.pragma_update(None, "synchronous", "FULL")?;
+            disk.pragma_update(None, "cache_size", -256)?;
+            disk.pragma_update(None, "wal_autocheckpoint", 64)?;
+            let form: i64 = disk.pragma_query_value(None, "user_version", |row| row.get(0))?;
+            let empty: bool =
+                disk.query_row("SELECT count(*) = 0 FROM sqlite_master", [], |row| row.get(0))?;
+            if form == 0 && empty {
+                disk.execute_batch(&format!(
+                    "BEGIN; CREATE TABLE kept (name TEXT PRIMARY KEY, value BLOB NOT NULL) WITHOUT ROWID;
+                     PRAGMA user_version = {FORM}; COMMIT;"
+                ))?;
+                return Ok(FORM);
+            }
+            Ok(form)
+        };
+        let form = begin().context(DiskSnafu { file: &file })?;
+        if form != FORM {
+            return FormSnafu { file, form }.fail();
+        }
+        Ok(Store { disk, file, document: None })
+    }
+
+    fn get<T: DeserializeOwned>(&self, name: &str) -> Result<Option<T>, Fault> {
+        let query = "SELECT value FROM kept WHERE name = ?1";
+        let read = self.disk.query_row(query, params![name], |row| row.get::<_, Vec<u8>>(0)).optional();
+        let Some(bytes) = read.context(DiskSnafu { file: &self.file })? else { return Ok(None) };
+        ciborium::from_reader(bytes.as_slice()).map(Some).map_err(|e| Fault::Content {
+            file: self.file.clone(),
+            name: name.to_owned(),
+            text: e.to_string(),
+        })
+    }
+
+    /// What was kept, unless the folder is empty.
+    ///
+    /// # Errors
+    ///
+    /// Why it can't be read.
+    pub fn read(&mut self) -> Result<Option<Keeping>, Fault> {
+        let (Some(node), Some(promised)) = (self.get("node")?, self.get("promised")?) else {
+            return Ok(None);
+        };
+        let epoch = self.get("epoch")?;
+        let document: Option<Document> = self.get("document")?;
+        self.document = document.map(Arc::new);
+        Ok(Some(Keeping { node, promised, epoch, document: self.document.clone() }))
+    }
+
+    /// Keeps this, synced.
+    ///
+    /// # Errors
+    ///
+    /// Why it is not kept.
+    pub fn write(&mut self, keeping: &Keeping) -> Result<(), Fault> {
+        self.put(keeping).context(DiskSnafu { file: &self.file })?;
+        self.document.clone_from(&keeping.document);
+        Ok(())
+    }
+
+    fn put(&mut self, keeping: &Keeping) -> rusqlite::Result<()> {
+        fn bytes(value: &impl Serialize) -> Vec<u8> {
+            let mut bytes = Vec::new();
+            // Writing to memory does not fail.
+            let _ = ciborium::into_writer(value, &mut bytes);
+            bytes
+        }
+        let same = match (&self.document, &keeping.document) {
+            (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+            (None, None) => true,
+            _ => false,
+        };
+        let change = self.disk.transaction()?;
+        {
+            let mut put =
+                change.prepare_cached("INSERT OR REPLACE INTO kept (name, value) VALUES (?1, ?2)")?;
+            put.execute(params!["node", bytes(&keeping.node)])?;
+            put.execute(params!["promised", bytes(&keeping.promised)])?;
+            put.execute(params!["epoch", bytes(&keeping.epoch)])?;
+            if !same {
+                put.execute(params!["document", bytes(&keeping.document.as_deref())])?;
+            }
+        }
+        change.commit()
+    }
+}
+
+/// Writes what comes until nobody sends any more; tells the ticket of each write once it is there.
+pub fn run(mut store: Store, writes: &mpsc::Receiver<(u64, Keeping)>, mut written: impl FnMut(u64)) {
+    while let Ok(mut newest) = writes.recv() {
+        loop {
+            newest = writes.try_iter().last().unwrap_or(newest);
+            match store.write(&newest.1) {
+                Ok(()) => break,
+                Err(fault) => {
+                    log::error!("not kept: {fault}");
+                    std::thread::sleep(AGAIN);
+                }
+            }
+        }
+        written(newest.0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core;
+    use googletest::prelude::*;
+
+    fn keeping(version: u32) -> Keeping {
+        let ip = [10, 1, 0, 2].into();
+        let document = Some(Arc::new(Document { version, bytes: vec![7; 100_000] }));
+        Keeping { document, ..core::begin(ip, &[ip], true, 5) }
+    }
+
+    #[gtest]
+    fn what_is_written_is_read_back_and_an_empty_folder_is_told_from_it() {
+        let mut store = Store::in_memory().unwrap();
+        expect_that!(store.read().unwrap(), none());
+        for version in [1, 2] {
+            store.write(&keeping(version)).unwrap();
+            expect_that!(store.read().unwrap(), some(eq(&keeping(version))));
+        }
+    }
+
+    #[gtest]
+    fn another_form_is_refused_with_what_to_do() {
+        let disk = Connection::open_in_memory().unwrap();
+        disk.pragma_update(None, "user_version", FORM + 1).unwrap();
+        let fault = Store::of(disk, "x".into()).err().unwrap();
+        expect_that!(fault.to_string(), contains_substring("move the folder away"));
+    }
+
+    #[gtest]
+    fn of_writes_that_wait_the_newest_is_written_and_its_ticket_told() {
+        let (send, writes) = mpsc::channel();
+        for ticket in 1..=5 {
+            send.send((ticket, keeping(ticket as u32))).unwrap();
+        }
+        drop(send);
+        let mut told = Vec::new();
+        run(Store::in_memory().unwrap(), &writes, |ticket| told.push(ticket));
+        expect_that!(told, eq(&vec![5]));
+    }
+}
--- /dev/null
+++ b/crates/marker/src/tally.rs
@@ -0,0 +1,129 @@
+//! Totals of what gatekeepers let in, by tenant: batched adds come in, totals go out.
+//!
+//! Totals count up from this marker's start. A gatekeeper takes from them how much the others have added since it
+//! last looked, and holds that against its own clock: no clock is shared, and a marker that starts again begins at 0
+//! without harm.
+
+use crate::parts::SessionId;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Tenants that are counted at once.
+const TENANTS_MAX: usize = 100_000;
+
+#[derive(Default)]
+struct Told {
+    life: u64,
+    /// Its own part of the totals, by tenant.
+    own: BTreeMap<String, u64>,
+    number: u64,
+    /// Whether something changed that it has to know.
+    changed: BTreeSet<String>,
+    new_number: bool,
+}
+
+/// Totals of all tenants.
+#[derive(Default)]
+pub struct Tally {
+    totals: BTreeMap<String, u64>,
+    homes: BTreeMap<SessionId, Told>,
+    /// What came from sessions here since the other markers were told.
+    batch: BTreeMap<String, u64>,
+}
+
+impl Tally {
+    /// A gatekeeper makes this marker its home.
+    pub fn open(&mut self, session: SessionId, life: u64) {
+        let told = Told { life, changed: self.totals.keys().cloned().collect(), ..Told::default() };
+        self.homes.insert(session, told);
+    }
+
+    /// It has another home, or has gone.
+    pub fn close(&mut self, session: SessionId) {
+        self.homes.remove(&session);
+    }
+
+    /// The lives whose home is here.
+    pub fn lives(&self) -> Vec<u64> {
+        self.homes.values().map(|told| told.life).collect()
+    }
+
+    /// Adds of a gatekeeper, under a number that rises.
+    pub fn on_adds(&mut self, session: SessionId, number: u64, adds: &[(String, u64)]) {
+        let Some(told) = self.homes.get_mut(&session).filter(|told| number > told.number) else { return };
+        (told.number, told.new_number) = (number, true);
+        for (tenant, n) in adds {
+            if let Some(own) = told.own.get_mut(tenant) {
+                *own += n;
+            } else if told.own.len() < TENANTS_MAX {
+                told.own.insert(tenant.clone(), *n);
+            }
+            if self.batch.contains_key(tenant) || self.batch.len() < TENANTS_MAX {
+                *self.batch.entry(tenant.clone()).or_default() += n;
+            }
+        }
+        self.count(adds);
+    }
+
+    /// Adds that another marker has taken in.
+    pub fn count(&mut self, adds: &[(String, u64)]) {
+        for (tenant, n) in adds {
+            if self.totals.len() >= TENANTS_MAX && !self.totals.contains_key(tenant) {
+                continue;
+            }
+            *self.totals.entry(tenant.clone()).or_default() += n;
+            for told in self.homes.values_mut() {
+                told.changed.insert(tenant.clone());
+            }
+        }
+    }
+
+    /// What the other markers have to be told.
+    pub fn batch(&mut self) -> Vec<(String, u64)> {
+        std::mem::take(&mut self.batch).into_iter().collect()
+    }
+
+    /// What each gatekeeper has to be told: the number of its newest adds, and tenants with total and own part.
+    pub fn news(&mut self) -> Vec<(SessionId, u64, Vec<(String, u64, u64)>)> {
+        let totals = &self.totals;
+        let due = self.homes.iter_mut().filter(|(_, told)| told.new_number || !told.changed.is_empty());
+        due.map(|(session, told)| {
+            told.new_number = false;
+            let changed = std::mem::take(&mut told.changed).into_iter();
+            let news = changed.map(|tenant| {
+                let (total, own) = (totals.get(&tenant), told.own.get(&tenant));
+                (tenant, total.copied().unwrap_or(0), own.copied().unwrap_or(0))
+            });
+            (*session, told.number, news.collect())
+        })
+        .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use googletest::prelude::*;
+
+    fn adds(n: u64) -> Vec<(String, u64)> {
+        vec![("t".into(), n)]
+    }
+
+    #[gtest]
+    fn totals_hold_what_all_added_and_adds_that_come_twice_count_once() {
+        let (mut here, mut there) = (Tally::default(), Tally::default());
+        here.open(1, 11);
+        here.open(2, 12);
+        there.open(1, 13);
+        here.on_adds(1, 1, &adds(5));
+        here.on_adds(1, 1, &adds(5));
+        here.on_adds(2, 1, &adds(2));
+        here.on_adds(9, 1, &adds(100));
+        there.count(&here.batch());
+        expect_that!(
+            here.news(),
+            eq(&vec![(1, 1, vec![("t".into(), 7, 5)]), (2, 1, vec![("t".into(), 7, 2)])])
+        );
+        expect_that!(there.news(), eq(&vec![(1, 0, vec![("t".into(), 7, 0)])]));
+        expect_true!(here.news().is_empty() && here.batch().is_empty());
+    }
+}
--- /dev/null
+++ b/crates/trunk/src/lib.rs
@@ -0,0 +1,7 @@
+//! What the processes of the system say to each other, and the held connections that carry it.
+//!
+//! [`words`] has every message. [`frames`] cuts a stream of bytes into them. [`line`] joins both to a socket.
+
+pub mod frames;
+pub mod line;
+pub mod words;
--- /dev/null
+++ b/crates/trunk/src/line.rs
@@ -0,0 +1,154 @@
+//! A held connection: words in, words out, closed when its peer falls silent or does not read.
+
+use crate::frames::{self, Cutter};
+use crate::words::Word;
+use granitelead_base::set_user_timeout;
+use snafu::{ResultExt, Snafu};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Time for a connection to come up.
+const CONNECT: Duration = Duration::from_millis(800);
+/// How long sent bytes may go without being acknowledged.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+/// Bytes that may wait for a peer that does not read; with more the connection is closed.
+const WAITING_MAX: usize = 32 << 20;
+/// Bytes read at once.
+const PIECE: usize = 4 << 10;
+
+/// Why a connection ended.
+#[derive(Debug, Snafu)]
+pub enum Ended {
+    /// It did not come up.
+    #[snafu(display("no connection: {source}"))]
+    Connect {
+        /// Why.
+        source: std::io::Error,
+    },
+    /// It did not come up in time.
+    #[snafu(display("no connection in time"))]
+    Late,
+    /// It broke.
+    #[snafu(display("broken: {source}"))]
+    Broken {
+        /// How.
+        source: std::io::Error,
+    },
+    /// The peer closed it.
+    #[snafu(display("closed by its peer"))]
+    Closed,
+    /// Nothing came for too long.
+    #[snafu(display("silent"))]
+    Silent,
+    /// The peer does not read.
+    #[snafu(display("not read"))]
+    Stuck,
+    /// The peer sends what is no word.
+    #[snafu(display("{source}"))]
+    Garbled {
+        /// What.
+        source: frames::Fault,
+    },
+}
+
+#[derive(Default)]
+struct Out {
+    bytes: RefCell<Vec<u8>>,
+    more: Notify,
+    closed: Cell<bool>,
+}
+
+/// The sending end of a connection. Words are sent in order; what is not sent when it ends is lost.
+#[derive(Clone, Default)]
+pub struct Sender(Rc<Out>);
+
+impl Sender {
+    /// Sends a word, unless the connection has ended.
+    pub fn send(&self, word: &Word) {
+        if self.0.closed.get() {
+            return;
+        }
+        let mut waiting = self.0.bytes.borrow_mut();
+        waiting.extend(frames::write(word));
+        if waiting.len() > WAITING_MAX {
+            self.0.closed.set(true);
+        }
+        drop(waiting);
+        self.0.more.notify_one();
+    }
+
+    /// Ends the connection.
+    pub fn close(&self) {
+        self.0.closed.set(true);
+        self.0.more.notify_one();
+    }
+
+    /// Whether two are ends of one connection.
+    pub fn is(&self, other: &Sender) -> bool {
+        Rc::ptr_eq(&self.0, &other.0)
+    }
+}
+
+/// Opens a connection.
+///
+/// # Errors
+///
+/// Why there is none.
+pub async fn dial(to: SocketAddr) -> Result<TcpStream, Ended> {
+    let stream = tokio::time::timeout(CONNECT, TcpStream::connect(to)).await;
+    stream.map_err(|_| Ended::Late)?.context(ConnectSnafu)
+}
+
+/// Carries words over a connection until it ends: what comes goes to `take`, what `sender` is given goes out.
+/// Nothing for `silence` ends it. Dropping it closes the connection and loses what has not been sent.
+pub async fn carry(stream: TcpStream, sender: Sender, silence: Duration, take: impl FnMut(Word)) -> Ended {
+    let _ = stream.set_nodelay(true);
+    set_user_timeout(&stream, UNACKNOWLEDGED, &Cell::new(1));
+    let (read, write) = stream.into_split();
+    let ended = tokio::select! {
+        ended = come(read, silence, take) => ended,
+        ended = go(write, &sender) => ended,
+    };
+    sender.close();
+    ended
+}
+
+async fn come(mut from: OwnedReadHalf, silence: Duration, mut take: impl FnMut(Word)) -> Ended {
+    let mut cutter = Cutter::default();
+    let mut piece = [0; PIECE];
+    loop {
+        match tokio::time::timeout(silence, from.read(&mut piece)).await {
+            Err(_) => return Ended::Silent,
+            Ok(Err(source)) => return Ended::Broken { source },
+            Ok(Ok(0)) => return Ended::Closed,
+            Ok(Ok(size)) => cutter.feed(&piece[..size]),
+        }
+        loop {
+            match cutter.word() {
+                Ok(Some(word)) => take(word),
+                Ok(None) => break,
+                Err(source) => return Ended::Garbled { source },
+            }
+        }
+    }
+}
+
+async fn go(mut to: OwnedWriteHalf, sender: &Sender) -> Ended {
+    loop {
+        let bytes = sender.0.bytes.take();
+        if sender.0.closed.get() && bytes.is_empty() {
+            return Ended::Stuck;
+        }
+        if bytes.is_empty() {
+            sender.0.more.notified().await;
+        } else if let Err(source) = to.write_all(&bytes).await {
+            return Ended::Broken { source };
+        }
+    }
+}
--- /dev/null
+++ b/crates/trunk/src/words.rs
@@ -0,0 +1,238 @@
+//! Every message between two processes of the system.
+
+use serde::{Deserialize, Serialize};
+use std::net::Ipv4Addr;
+
+/// A marker, as long as its folder lasts: one that comes back with an empty disk is another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Node {
+    /// Where it is.
+    pub ip: Ipv4Addr,
+    /// Drawn when its folder was made; founders have their address.
+    pub folder: u64,
+}
+
+/// The number of an epoch; of two the one of the later round is higher.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Number {
+    /// Rounds are counted up.
+    pub round: u64,
+    /// The folder of whoever began it, so that no two epochs have one number.
+    pub by: u64,
+}
+
+/// Who keeps what, until a higher epoch is kept by a majority.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Epoch {
+    /// Its number.
+    pub number: Number,
+    /// The markers that keep epochs: a majority of them decides.
+    pub core: Vec<Node>,
+    /// The core of the epoch before: a majority of it has to agree as well.
+    pub before: Vec<Node>,
+    /// Who answers operators; nobody in the founding epoch.
+    pub primary: Option<Node>,
+    /// Who holds all that the primary has answered for.
+    pub backups: Vec<Node>,
+}
+
+impl Epoch {
+    /// Whether a marker holds all that was answered for in this epoch.
+    pub fn holds(&self, node: Node) -> bool {
+        self.primary == Some(node) || self.backups.contains(&node)
+    }
+}
+
+/// A configuration as it was sent, with its number.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Its version.
+    pub version: u32,
+    /// Its bytes, as the operator sent them.
+    #[serde(with = "bytes")]
+    pub bytes: Vec<u8>,
+}
+
+/// Byte strings, which CBOR knows, in place of lists of numbers.
+mod bytes {
+    use serde::de::{Deserializer, Visitor};
+    use serde::ser::Serializer;
+
+    pub fn serialize<S: Serializer>(bytes: &[u8], to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_bytes(bytes)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u8>, D::Error> {
+        struct Bytes;
+        impl Visitor<'_> for Bytes {
+            type Value = Vec<u8>;
+
+            fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+                f.write_str("a byte string")
+            }
+
+            fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
+                Ok(bytes.to_vec())
+            }
+
+            fn visit_byte_buf<E>(self, bytes: Vec<u8>) -> Result<Vec<u8>, E> {
+                Ok(bytes)
+            }
+        }
+        from.deserialize_byte_buf(Bytes)
+    }
+}
+
+/// Whether a server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum State {
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// It is no more, and never will be again.
+    Gone,
+}
+
+/// One life of a server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// The name of this life.
+    pub id: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where it is, `ip:port`.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// The version of its software.
+    pub version: String,
+    /// On how many requests it works at a time.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Rises with each of its calls.
+    pub sequence: u64,
+    /// For how much longer it is slow from its start, ms.
+    pub cold_ms: u64,
+}
+
+/// What markers say to each other. Each goes out on a connection of its sender's.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Between {
+    /// Said again and again to all.
+    Hear {
+        /// The epoch that is kept here.
+        epoch: Number,
+        /// Whether the sender is the primary of that epoch, which a majority keeps.
+        leads: bool,
+        /// Whether the sender hears a primary, or is one.
+        led: bool,
+        /// The newest configuration that can't be lost any more, as far as the sender knows.
+        sure: Option<u32>,
+        /// All markers that the sender hears.
+        others: Vec<Ipv4Addr>,
+    },
+    /// Asks to keep no epoch below this one from now on.
+    Prepare(Number),
+    /// That is promised; with the newest epoch that is kept here.
+    Promise(Number, Option<Epoch>),
+    /// Hands over what the primary-to-be holds, to whom it wants as a backup.
+    Copy(Number, Option<Document>),
+    /// That is on disk.
+    Copied(Number),
+    /// Asks to keep an epoch.
+    Keep(Epoch),
+    /// It is on disk.
+    Kept(Number),
+    /// Something of an epoch that is no more; the highest one promised here.
+    Over(Number),
+    /// A configuration to hold, of an epoch.
+    Hold(Number, Document),
+    /// It is on disk: the epoch and the version.
+    Held(Number, u32),
+    /// Asks whether an epoch is still the highest one promised there; the second number tells askings apart.
+    Check(Number, u64),
+    /// It is.
+    Checked(Number, u64),
+    /// A configuration that can't be lost any more.
+    Sure(Document),
+    /// The epoch that is kept here, for one who keeps an older one.
+    Latest(Epoch),
+    /// The primary leaves: the one who is told begins a round.
+    HandOver(Number),
+    /// What has changed of servers; answered by [`Between::Told`] where the ticket is not 0.
+    Servers(u64, Vec<Instance>),
+    /// All gatekeepers with a session at the sender know it.
+    Told(u64),
+    /// Servers that have beaten here, with their sequence numbers.
+    Alive(Vec<(String, u64)>),
+    /// The gatekeepers whose home the sender is: lives and names.
+    Sessions(Vec<(u64, String)>),
+    /// Requests let in, by tenant, since the last time.
+    Adds(Vec<(String, u64)>),
+}
+
+/// What a gatekeeper says to a marker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Up {
+    /// Opens a session.
+    Hello {
+        /// Drawn at the start of the gatekeeper's process.
+        life: u64,
+        /// Its name.
+        name: String,
+        /// The configuration that it has.
+        has: Option<u32>,
+        /// The servers that it knows.
+        servers: Vec<Instance>,
+    },
+    /// Whether the marker is the gatekeeper's home, to which it tells what it lets in.
+    Home(bool),
+    /// All news up to this number are taken in.
+    Got(u64),
+    /// This configuration is in force here.
+    Has(u32),
+    /// Requests let in, by tenant, since the last time, under a number that rises.
+    Adds(u64, Vec<(String, u64)>),
+    /// Nothing, to be heard.
+    Ping,
+}
+
+/// What a marker says to a gatekeeper.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Down {
+    /// News, numbered from 1 in each session.
+    News(u64, News),
+    /// The total of each tenant since this marker's start that changed, all gatekeepers together, and of them
+    /// the part of the one that is told; with the number of its newest adds that are counted.
+    Totals(u64, Vec<(String, u64, u64)>),
+    /// Nothing, to be heard.
+    Pong,
+}
+
+/// What changes at a gatekeeper.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum News {
+    /// A configuration to have in force.
+    Configuration(Document),
+    /// What has changed of servers.
+    Servers(Vec<Instance>),
+    /// All is told that this marker knows, which is in this zone.
+    Whole(String),
+    /// All markers that are known.
+    Markers(Vec<Ipv4Addr>),
+    /// How many gatekeepers there are.
+    Gatekeepers(u32),
+}
+
+/// All that a connection carries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// From one marker to another.
+    Between(Node, Between),
+    /// From a gatekeeper to a marker.
+    Up(Up),
+    /// From a marker to a gatekeeper.
+    Down(Down),
+}
--- /dev/null
+++ b/src/bin/crossbar.rs
@@ -0,0 +1,7 @@
+//! The data plane of the system.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    crossbar::run()
+}
--- /dev/null
+++ b/src/bin/marker.rs
@@ -0,0 +1,7 @@
+//! The control plane of the system.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    marker::run()
+}
