Keep quotas by the decisions of the gatekeeper in service, with totals among the markers

Gatekeepers tell a home marker what they let in, hear what others let in, and keep to an even part when they hear nothing.

--- a/crates/crossbar/src/control.rs
+++ b/crates/crossbar/src/control.rs
@@ -10,6 +10,8 @@
 
 /// Sessions at once.
 pub const SESSIONS: usize = 3;
+/// A home that says nothing for so long may be cut off: it answers twice as often.
+const TOUCH: Millis = 1_100;
 /// Adds that are not yet counted are merged beyond so many batches.
 const UNCOUNTED_MAX: usize = 64;
 
@@ -22,8 +24,8 @@
     Servers(Vec<Instance>),
     /// All is told that a marker knows.
     Whole,
-    /// How many gatekeepers there are.
-    Gatekeepers(u32),
+    /// How many gatekeepers there are, and how many of them are missed.
+    Gatekeepers(u32, u32),
     /// What all others have let in since this was last told, by tenant.
     Others(Vec<(String, u64)>),
 }
@@ -34,6 +36,7 @@
     opened: Millis,
     /// What the others had let in by the newest totals, once there were some.
     others: Option<BTreeMap<String, u64>>,
+    heard: Millis,
 }
 
 /// All sessions of a gatekeeper.
@@ -80,6 +83,12 @@
         self.sessions.len()
     }
 
+    /// Whether the home is heard, and so what the others let in.
+    pub fn in_touch(&self, now: Millis) -> bool {
+        let home = self.home.and_then(|ip| self.sessions.get(&ip));
+        home.is_some_and(|s| s.others.is_some() && now < s.heard + TOUCH)
+    }
+
     /// The marker that counts what is let in here.
     pub fn home(&self) -> Option<Ipv4Addr> {
         self.home
@@ -97,7 +106,7 @@
 
     /// A session is up. Gives what to say first.
     pub fn open(&mut self, now: Millis, ip: Ipv4Addr, has: Option<u32>, servers: Vec<Instance>) -> Up {
-        self.sessions.insert(ip, Session { opened: now, ..Session::default() });
+        self.sessions.insert(ip, Session { opened: now, heard: now, ..Session::default() });
         Up::Hello { life: self.life, name: self.name.clone(), has, servers }
     }
 
@@ -136,7 +145,10 @@
     }
 
     /// A marker says something. Gives what it changes, and what to say.
-    pub fn take(&mut self, ip: Ipv4Addr, word: Down) -> (Option<Change>, Vec<(Ipv4Addr, Up)>) {
+    pub fn take(&mut self, now: Millis, ip: Ipv4Addr, word: Down) -> (Option<Change>, Vec<(Ipv4Addr, Up)>) {
+        if let Some(session) = self.sessions.get_mut(&ip) {
+            session.heard = now;
+        }
         match word {
             Down::Pong => (None, Vec::new()),
             Down::News(number, news) => {
@@ -148,7 +160,7 @@
                         self.told = markers.into_iter().collect();
                         None
                     }
-                    News::Gatekeepers(n) => Some(Change::Gatekeepers(n)),
+                    News::Gatekeepers(n, missed) => Some(Change::Gatekeepers(n, missed)),
                     News::Whole(zone) => {
                         if let Some(session) = self.sessions.get_mut(&ip) {
                             session.zone = Some(zone);
--- a/crates/crossbar/src/front.rs
+++ b/crates/crossbar/src/front.rs
@@ -1,7 +1,7 @@
 //! The clients' side: reads requests, takes each its way, writes the one answer.
 
 use crate::dials::{names, Answer, Body, Dials};
-use crate::gate::{Gate, Pass};
+use crate::gate::{Gate, Pass, Refusal};
 use crate::journey::{Journey, Next, Outcome};
 use crate::Millis;
 use bytes::Bytes;
@@ -65,6 +65,26 @@
     }
 }
 
+/// A request of a tenant, open until this is dropped.
+struct TenantOpen<'f>(&'f Front, Option<String>);
+
+impl<'f> TenantOpen<'f> {
+    fn begin(front: &'f Front, pass: &Pass) -> TenantOpen<'f> {
+        if let Some(tenant) = &pass.tenant {
+            front.gate.borrow_mut().tenants.open(tenant, 1.0);
+        }
+        TenantOpen(front, pass.tenant.clone())
+    }
+}
+
+impl Drop for TenantOpen<'_> {
+    fn drop(&mut self) {
+        if let Some(tenant) = &self.1 {
+            self.0.gate.borrow_mut().tenants.open(tenant, -1.0);
+        }
+    }
+}
+
 /// A request at a server; ends there when dropped.
 struct There<'f> {
     front: &'f Front,
@@ -124,8 +144,9 @@
         let admitted = self.gate.borrow_mut().admit(self.now(), host, parts.uri.path(), &parts.headers);
         let pass = match admitted {
             Ok(pass) => pass,
-            Err(kind) => return self.refuse(kind, None),
+            Err(refusal) => return self.refuse_for(refusal, None),
         };
+        let _tenant = TenantOpen::begin(self, &pass);
         let limit = usize::try_from(pass.configuration.limits.body).unwrap_or(usize::MAX);
         let body = match self.collect(body, limit.min(self.held_max)).await {
             Ok(body) => body,
@@ -219,14 +240,18 @@
         }
     }
 
-    /// The final answer where no server's is passed on.
     fn refuse(&self, kind: Kind, pass: Option<&Pass>) -> Response<Out> {
-        let row = kind.row();
+        self.refuse_for(kind.into(), pass)
+    }
+
+    /// The final answer where no server's is passed on.
+    fn refuse_for(&self, refusal: Refusal, pass: Option<&Pass>) -> Response<Out> {
+        let row = refusal.kind.row();
         let mut response = Response::new(whole(Bytes::from(format!("{}: {}\n", row.name, row.advice))));
         *response.status_mut() = hyper::StatusCode::from_u16(row.status).unwrap_or_default();
         if row.promises {
             let aim = pass.map_or(200, |pass| pass.route().target.as_millis() as Millis);
-            let wait = self.gate.borrow_mut().come_back(aim);
+            let wait = self.gate.borrow_mut().come_back(aim, refusal.wait);
             let text = format!("{:.3}", wait as f64 / 1e3);
             if let Ok(value) = HeaderValue::from_str(&text) {
                 response.headers_mut().insert(RETRY_AFTER, value);
--- a/crates/crossbar/src/gate.rs
+++ b/crates/crossbar/src/gate.rs
@@ -4,13 +4,16 @@
 use crate::control::{Change, Control};
 use crate::dials::names;
 use crate::servers::Servers;
+use crate::tenants::Tenants;
 use crate::Millis;
 use hyper::header::{HeaderMap, AUTHORIZATION};
 use plugboard::configuration::{self, Configuration, Route};
 use plugboard::kinds::Kind;
 use plugboard::settings::Bounds;
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
+use trunk::words::Up;
 
 /// Time that is kept of a request's for its answer to reach the client.
 const MARGIN: Millis = 5;
@@ -40,12 +43,29 @@
     }
 }
 
+/// Why a request is not let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// What it is answered with.
+    pub kind: Kind,
+    /// When it would be let in, where that is known.
+    pub wait: Option<Millis>,
+}
+
+impl From<Kind> for Refusal {
+    fn from(kind: Kind) -> Refusal {
+        Refusal { kind, wait: None }
+    }
+}
+
 /// What a gatekeeper holds.
 pub struct Gate {
     /// The configuration in force.
     pub configuration: Option<Rc<Configuration>>,
     /// The servers.
     pub servers: Servers,
+    /// The tenants.
+    pub tenants: Tenants,
     /// Further tries.
     pub budget: Budget,
     /// The sessions with markers.
@@ -64,6 +84,7 @@
         Gate {
             configuration: None,
             servers: Servers::new(zone, seed),
+            tenants: Tenants::new(seed ^ 2),
             budget: Budget::new(bounds.retry_ratio, bounds.retry_slack, window),
             control,
             whole: false,
@@ -98,20 +119,29 @@
             }
             Change::Servers(told) => return (None, self.servers.take(now, told)),
             Change::Whole => self.whole = true,
-            Change::Gatekeepers(n) => self.budget.share(n),
-            Change::Others(_) => {}
+            Change::Gatekeepers(n, missed) => {
+                self.budget.share(n);
+                self.tenants.share(n, missed);
+            }
+            Change::Others(news) => self.tenants.hear(now, &news),
         }
         (None, Vec::new())
     }
 
-    /// Routes a request and checks its key. `time` is what its client waits, ms.
+    /// Routes a request, checks its key, and counts it for its tenant.
     ///
     /// # Errors
     ///
     /// What it is answered with instead.
-    pub fn admit(&mut self, now: Millis, host: &str, path: &str, headers: &HeaderMap) -> Result<Pass, Kind> {
-        let Some(configuration) = self.configuration.clone() else { return Err(Kind::NotReady) };
-        let route = configuration.route(host, path).ok_or(Kind::Unknown)?;
+    pub fn admit(
+        &mut self,
+        now: Millis,
+        host: &str,
+        path: &str,
+        headers: &HeaderMap,
+    ) -> Result<Pass, Refusal> {
+        let Some(configuration) = self.configuration.clone() else { return Err(Kind::NotReady.into()) };
+        let route = configuration.route(host, path).ok_or(Refusal::from(Kind::Unknown))?;
         let tenant = if configuration.keyed {
             let key = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
             let key = key.and_then(|value| value.split_once(' '));
@@ -120,18 +150,18 @@
             match bearer.and_then(|key| configuration.keys.get(key)) {
                 Some(tenant) => Some(&configuration.tenants[*tenant]),
                 None if route.public => None,
-                None => return Err(Kind::Key),
+                None => return Err(Kind::Key.into()),
             }
         } else {
             None
         };
         let id = headers.get(names::ATTEMPT).is_some_and(|id| !id.is_empty());
         if !id {
-            return Err(Kind::Malformed);
+            return Err(Kind::Malformed.into());
         }
         let told = headers.get(names::DEADLINE).and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
         let time = told.map_or(route.timeout, Duration::from_millis).min(route.timeout);
-        let service = self.draw(&configuration, route).ok_or(Kind::NoRoom)?;
+        let service = self.draw(&configuration, route).ok_or(Refusal::from(Kind::NoRoom))?;
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
         let place = configuration.hosts[&host].iter().position(|r| r.prefix == route.prefix).unwrap_or(0);
         let pass = Pass {
@@ -144,11 +174,20 @@
             configuration: configuration.clone(),
         };
         if let Some(tenant) = tenant {
+            if let Some(wait) = self.tenants.beyond(now, tenant) {
+                return Err(Refusal { kind: Kind::Quota, wait: Some(wait) });
+            }
             self.control.add(&tenant.name);
         }
         Ok(pass)
     }
 
+    /// What is to be told of what was let in; and whether what the others let in is known.
+    pub fn on_batch(&mut self, now: Millis) -> Option<(Ipv4Addr, Up)> {
+        self.tenants.touch(now, self.control.in_touch(now));
+        self.control.batch()
+    }
+
     /// One of a route's services, by weight.
     fn draw(&mut self, configuration: &Configuration, route: &Route) -> Option<String> {
         let sum: f64 = route.split.iter().map(|(_, weight)| weight).sum();
@@ -161,9 +200,10 @@
         configuration.services.get(*place).map(|service| service.name.clone())
     }
 
-    /// When to come back after a refusal, in ms: drawn, so that nothing returns in step.
-    pub fn come_back(&mut self, aim: Millis) -> Millis {
-        let mean = (aim / 4).clamp(10, 500);
-        self.rng.u64(mean / 2..=mean + mean / 2)
+    /// When to come back after a refusal, ms: after what is known to be needed, or a part of the aim; drawn, so that
+    /// nothing returns in step.
+    pub fn come_back(&mut self, aim: Millis, wait: Option<Millis>) -> Millis {
+        let least = wait.unwrap_or((aim / 8).clamp(5, 250));
+        least + self.rng.u64(0..=(aim / 4).clamp(10, 500))
     }
 }
--- a/crates/crossbar/src/lib.rs
+++ b/crates/crossbar/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod journey;
 pub mod run;
 pub mod servers;
+pub mod tenants;
 
 use std::process::ExitCode;
 
--- a/crates/crossbar/src/run.rs
+++ b/crates/crossbar/src/run.rs
@@ -24,7 +24,7 @@
 use trunk::words::{Up, Word};
 
 /// How often what was let in is told, and sessions are looked after.
-const BATCH: Duration = Duration::from_millis(100);
+const BATCH: Duration = Duration::from_millis(50);
 /// How often a session says that it stands.
 const PING: Duration = Duration::from_millis(500);
 /// A marker that says nothing for so long is gone: it would have answered three times.
@@ -67,6 +67,7 @@
     port: u16,
     standing: RefCell<BTreeMap<Ipv4Addr, Sender>>,
     busy: RefCell<BTreeSet<Ipv4Addr>>,
+    backoff: RefCell<Backoff>,
 }
 
 impl Lines {
@@ -99,11 +100,13 @@
             Err(ended) => {
                 log::info!("{ip}: {ended}");
                 // Drawn, so that gatekeepers that lost a marker together do not come back together.
-                Backoff::new(fastrand::u64(..)).wait().await;
+                let wait = self.backoff.borrow_mut().draw();
+                tokio::time::sleep(wait).await;
                 self.busy.borrow_mut().remove(&ip);
                 return;
             }
         };
+        self.backoff.borrow_mut().reset();
         let sender = Sender::default();
         let hello = {
             let gate = &mut *self.front.gate.borrow_mut();
@@ -134,7 +137,8 @@
 
     fn take(&self, ip: Ipv4Addr, word: Word) {
         let Word::Down(word) = word else { return };
-        let (change, mut say) = self.front.gate.borrow_mut().control.take(ip, word);
+        let now = self.front.now();
+        let (change, mut say) = self.front.gate.borrow_mut().control.take(now, ip, word);
         if let Some(change) = change {
             let (version, _) = self.front.gate.borrow_mut().take(self.front.now(), change);
             say.extend(version.map(|version| (ip, Up::Has(version))));
@@ -249,12 +253,13 @@
         port: settings.internal_port,
         standing: RefCell::default(),
         busy: RefCell::default(),
+        backoff: RefCell::new(Backoff::new(fastrand::u64(..))),
     });
     let looking = lines.clone();
     spawn_local(async move {
         loop {
             looking.look();
-            let batch = looking.front.gate.borrow_mut().control.batch();
+            let batch = looking.front.gate.borrow_mut().on_batch(looking.front.now());
             looking.say(batch);
             tokio::time::sleep(BATCH).await;
         }
--- /dev/null
+++ b/crates/crossbar/src/tenants.rs
@@ -0,0 +1,144 @@
+//! Tenants: a bounded, aging table of what each has used, by the decisions that every gatekeeper of the project makes.
+//!
+//! What the others let in comes as totals. A gatekeeper that does not hear them keeps to its even part of each quota,
+//! and those that miss it leave that part to it: on both sides of a cut together the quota holds.
+
+use crate::Millis;
+use granitelead_decisions::{Customer, CustomerId, Plan};
+use plugboard::configuration::Tenant;
+use std::collections::HashMap;
+
+/// Tenants in the table; the write-up's 100k.
+const TABLE_MAX: usize = 100_000;
+/// An entry that was idle for so long is forgotten: by then its counts and box have lapsed.
+const IDLE: Millis = 240_000;
+/// Requests of a tenant that may be open at once: its requests of so many seconds, and never fewer than the second.
+const OPEN: (f64, f64) = (3.0, 20.0);
+/// Least burst, in seconds of the rate, and in requests.
+const BURST: (f64, f64) = (0.2, 1.0);
+/// Longest advice on when to come back.
+const ADVICE: Millis = 2_000;
+
+struct Entry {
+    customer: Customer,
+    plan: Plan,
+    seen: Millis,
+}
+
+/// All tenants as one gatekeeper counts them.
+pub struct Tenants {
+    table: HashMap<String, Entry>,
+    gatekeepers: u32,
+    missed: u32,
+    in_touch: bool,
+    swept: Millis,
+    rng: fastrand::Rng,
+}
+
+fn micros(now: Millis) -> u64 {
+    now * 1_000
+}
+
+impl Tenants {
+    /// None yet, and no word of what the others let in.
+    pub fn new(seed: u64) -> Tenants {
+        let rng = fastrand::Rng::with_seed(seed);
+        Tenants { table: HashMap::new(), gatekeepers: 1, missed: 0, in_touch: false, swept: 0, rng }
+    }
+
+    /// So many gatekeepers share each quota, of which so many are not heard by the others.
+    pub fn share(&mut self, gatekeepers: u32, missed: u32) {
+        (self.gatekeepers, self.missed) = (gatekeepers.max(1), missed);
+    }
+
+    /// Whether what the others let in is known.
+    pub fn touch(&mut self, now: Millis, in_touch: bool) {
+        if in_touch != self.in_touch {
+            self.in_touch = in_touch;
+            // Counts of before are of another kind: each entry begins anew, with its part only.
+            let (n, part) = (self.sharing(), self.part());
+            for (name, entry) in &mut self.table {
+                let plan = scaled(&entry.plan, part);
+                let open = entry.customer.open;
+                entry.customer = Customer::new(&plan, &CustomerId(name.clone()), n, micros(now), micros(now));
+                entry.customer.open = open;
+            }
+        }
+        if now > self.swept + IDLE / 16 {
+            self.swept = now;
+            self.table.retain(|_, entry| entry.customer.open > 0.0 || now < entry.seen + IDLE);
+        }
+    }
+
+    /// The part of each quota that those share who hear each other; alone, the even part of one.
+    fn part(&self) -> f64 {
+        let all = f64::from(self.gatekeepers);
+        if self.in_touch {
+            (all - f64::from(self.missed)).max(1.0) / all
+        } else {
+            1.0 / all
+        }
+    }
+
+    fn sharing(&self) -> f64 {
+        if self.in_touch {
+            f64::from(self.gatekeepers.saturating_sub(self.missed).max(1))
+        } else {
+            1.0
+        }
+    }
+
+    /// Whether a request of a tenant is beyond what it may ask; if not, it is counted. Gives when to come back, ms.
+    pub fn beyond(&mut self, now: Millis, tenant: &Tenant) -> Option<Millis> {
+        if tenant.rate <= 0.0 {
+            return None;
+        }
+        let (n, part, at) = (self.sharing(), self.part(), micros(now));
+        let whole = Plan {
+            rate: tenant.rate,
+            burst: tenant.burst.max(tenant.rate * BURST.0).max(BURST.1),
+            open: (tenant.rate * OPEN.0).max(OPEN.1),
+            ..Plan::default()
+        };
+        let plan = scaled(&whole, part);
+        if !self.table.contains_key(&tenant.name) {
+            if self.table.len() >= TABLE_MAX {
+                return Some(ADVICE);
+            }
+            let customer = Customer::new(&plan, &CustomerId(tenant.name.clone()), n, at, at);
+            self.table.insert(tenant.name.clone(), Entry { customer, plan: whole.clone(), seen: now });
+        }
+        let entry = self.table.get_mut(&tenant.name)?;
+        (entry.plan, entry.seen) = (whole, now);
+        entry.customer.advance(&plan, at, false);
+        let wait = entry.customer.beyond(&plan, 1.0, 0.0, at, self.rng.f64());
+        if wait.is_none() {
+            entry.customer.take(1.0);
+        }
+        wait.map(|wait| (wait / 1_000).clamp(1, ADVICE))
+    }
+
+    /// What the others have let in since the last word; what is not named is as it was.
+    pub fn hear(&mut self, now: Millis, news: &[(String, u64)]) {
+        let (part, at) = (self.part(), micros(now));
+        let news: HashMap<&str, u64> = news.iter().map(|(name, n)| (name.as_str(), *n)).collect();
+        for (name, entry) in &mut self.table {
+            let others = news.get(name.as_str()).copied().unwrap_or(0) as f64;
+            let plan = scaled(&entry.plan, part);
+            entry.customer.advance(&plan, at, false);
+            entry.customer.hear(&plan, others, true, -plan.burst, at);
+        }
+    }
+
+    /// A request of a tenant begins, or ends.
+    pub fn open(&mut self, tenant: &str, by: f64) {
+        if let Some(entry) = self.table.get_mut(tenant) {
+            entry.customer.open = (entry.customer.open + by).max(0.0);
+        }
+    }
+}
+
+/// A part of a plan.
+fn scaled(plan: &Plan, part: f64) -> Plan {
+    Plan { rate: plan.rate * part, burst: plan.burst * part, ..plan.clone() }
+}
--- a/crates/decisions/src/gatekeeper/attempts.rs
+++ b/crates/decisions/src/gatekeeper/attempts.rs
@@ -89,12 +89,11 @@
             let health = self.servers.get(&a.server).map(|w| (w.health[class_ix].answered, w.slow));
             let (answered, slow) = health.unwrap_or((0, 1.0));
             let lost = age > SILENT * slow.clamp(1.0, 2.0) * self.typical[class_ix] && answered <= a.sent;
-            let first = lost && !a.suspected;
+            let (first, server) = (lost && !a.suspected, a.server);
             a.suspected |= lost;
-            let server = a.server;
             let barred = r.streaming || r.spent || r.class.effect == Effect::AtMostOnce;
-            let late = self.now > r.arrived + r.class.aim;
-            let overdue = age > HEDGE_SHARE * r.class.aim as f64;
+            let (late, overdue) =
+                (self.now > r.arrived + r.class.aim, age > HEDGE_SHARE * r.class.aim as f64);
             if first {
                 self.strike(server, class_ix);
             }
--- a/crates/decisions/src/gatekeeper/ceilings.rs
+++ b/crates/decisions/src/gatekeeper/ceilings.rs
@@ -14,11 +14,7 @@
 /// How long a part takes to be full again, µs: 0 without a ceiling.
 pub(super) fn time_to_fill(p: &Plan) -> f64 {
     let span = (p.ceiling_burst + p.ceiling_slack) / p.ceiling_rate.max(1e-9) * 1e6;
-    if p.ceiling_rate > 0.0 {
-        span
-    } else {
-        0.0
-    }
+    f64::from(p.ceiling_rate > 0.0) * span
 }
 
 impl Gatekeeper {
--- a/crates/decisions/src/gatekeeper/cold.rs
+++ b/crates/decisions/src/gatekeeper/cold.rs
@@ -7,8 +7,7 @@
 /// Weights with which the sends that a warm server gets are learned upwards and downwards, once a second; the
 /// sends of that second from which on they tell upwards in full; the part of the fleet that must be warm.
 const CARRIED: (f64, f64, f64, f64) = (0.1, 0.02, 20.0, 0.5);
-/// Sends to a warm server in a second, by all gatekeepers, that tell anything of its size: a small part of
-/// its load does not.
+/// Sends to a warm server in a second, by all gatekeepers, that tell anything of its size.
 const TELLING: f64 = 4.0;
 
 impl Gatekeeper {
@@ -26,19 +25,15 @@
         if !w.near {
             return 0.0;
         }
-        let one_core = 1e6 / self.mean_latency() / self.sharing();
+        // What latency says of all classes together; the last is for those that the settings do not name.
+        let named = &self.typical[..self.set.classes.len().max(1)];
+        let one_core = 1e6 / (named.iter().sum::<f64>() / named.len() as f64) / self.sharing();
         let rate = COLD_PART * one_core.max(self.carried);
         let span = self.now.saturating_sub(w.credit_at);
         let mean = self.coldness(w, self.now - span / 2);
         (w.credit + rate * mean * secs(span)).min(1.0)
     }
 
-    /// What latency says of all classes together, µs; the last is for those that the settings do not name.
-    fn mean_latency(&self) -> f64 {
-        let named = &self.typical[..self.set.classes.len().max(1)];
-        named.iter().sum::<f64>() / named.len() as f64
-    }
-
     /// What a warm server gets tells what its size can do, as far as most of the fleet is warm.
     pub(super) fn learn_carried(&mut self, span: Micros) {
         let near = self.ready[..self.near].iter().filter_map(|id| self.servers.get(id));
--- a/crates/decisions/src/gatekeeper/counter.rs
+++ b/crates/decisions/src/gatekeeper/counter.rs
@@ -33,7 +33,7 @@
     /// Gives what each unit then stands for at the counter, 0 without a call.
     pub(super) fn push(&mut self, key: &Key, asks: f64, out: &mut Vec<Action>) -> f64 {
         self.advance(key);
-        let window = self.window(key.0);
+        let window = window(self.plan(key));
         let Some(c) = self.customers.get(key) else { return 0.0 };
         let waited = (self.now - c.pending_since) as f64 > PUSH_QUIET * window;
         let eats = c.pending > PUSH_SHARE * c.level.max(0.0);
@@ -79,7 +79,6 @@
         let (key, ok) = (call.key, matches!(outcome, CounterOutcome::Total(n) if n.is_finite()));
         self.pace(ok, self.now - call.sent);
         self.advance(&key);
-        let (window, burst, rate) = (self.window(key.0), self.plan(&key).burst, self.plan(&key).rate);
         let count_floor = if self.set.settles { -self.set.most_units } else { 0.0 };
         let Some(c) = self.customers.get_mut(&key) else { return };
         c.flying -= call.amount;
@@ -100,21 +99,7 @@
                     s.mine += others;
                 }
                 let news = (others - s.others).max(0.0);
-                s.others += news;
-                let mut dt = secs(self.now - c.read_at).max(1e-3);
-                c.level = if c.known { c.level + c.predicted - news } else { burst };
-                if age == 0 && !(s.read && c.known) {
-                    // The first look at this slot: the store is taken to have been half full at its start.
-                    let span = secs((self.now + c.shift) % window as u64);
-                    let used = s.others + s.mine - c.prepaid;
-                    c.level = c.level.min(START_STORE * burst + rate * span - used);
-                    dt = dt.min(span).max(1e-3);
-                }
-                s.read = true;
-                let weight = 1.0 - (-dt * 1e6 / window).exp();
-                c.others_rate += (news / dt - c.others_rate) * weight;
-                c.level = c.level.max(count_floor).min(burst);
-                (c.known, c.predicted, c.read_at) = (true, 0.0, self.now);
+                c.hear(&self.set.plans[key.0], news, age == 0, count_floor, self.now);
             }
         }
         c.pending += lost;
@@ -129,3 +114,26 @@
         self.release_held(out);
     }
 }
+
+impl Customer {
+    /// A total says that the others have used so many units more, in the present slot or the last. The store is
+    /// `least` at the least.
+    pub fn hear(&mut self, p: &Plan, news: f64, now_slot: bool, least: f64, now: Micros) {
+        let (window, mut dt) = (window(p), secs(now - self.read_at).max(1e-3));
+        self.level = if self.known { self.level + self.predicted - news } else { p.burst };
+        let s = if now_slot { &mut self.cur } else { &mut self.prev };
+        s.others += news;
+        if now_slot && !(s.read && self.known) {
+            // The first look at this slot: the store is taken to have been half full at its start.
+            let span = secs((now + self.shift) % window as u64);
+            let used = s.others + s.mine - self.prepaid;
+            self.level = self.level.min(START_STORE * p.burst + p.rate * span - used);
+            dt = dt.min(span).max(1e-3);
+        }
+        s.read = true;
+        let weight = 1.0 - (-dt * 1e6 / window).exp();
+        self.others_rate += (news / dt - self.others_rate) * weight;
+        self.level = self.level.max(least).min(p.burst);
+        (self.known, self.predicted, self.read_at) = (true, 0.0, now);
+    }
+}
--- a/crates/decisions/src/gatekeeper/customers.rs
+++ b/crates/decisions/src/gatekeeper/customers.rs
@@ -20,12 +20,6 @@
         self.plan(key).over_earns > self.plan(key).over_cost
     }
 
-    pub(super) fn window(&self, plan: usize) -> f64 {
-        let p = &self.set.plans[plan];
-        let span = if p.rate > 0.0 { p.burst / p.rate * 1e6 } else { OPEN_WINDOW };
-        span.clamp(1e5, WINDOW_MAX)
-    }
-
     /// Finds or makes the customer's entry. A full table gives strangers one strict entry for each plan, so
     /// that a scan of one-time names never evicts those who are boxed.
     pub(super) fn enter(&mut self, plan: usize, customer: CustomerId, gatekeepers: u32) -> Key {
@@ -35,18 +29,11 @@
         }
         let p = &self.set.plans[plan];
         let n = f64::from(gatekeepers.max(1));
-        let c = self.customers.entry(key.clone()).or_insert_with(|| Customer {
-            gatekeepers: n,
-            shift: hash(&key.1 .0) % WINDOW_MAX as u64,
-            level: p.burst / n,
-            at: self.now,
-            read_at: self.now,
-            others_rate: p.rate * (1.0 - 1.0 / n),
-            // Whatever this gatekeeper's former life drew, it cannot have drawn since it started: the local
-            // share is taken as spent at the start, however late the customer shows up.
-            ceiling_at: if self.retired { self.now } else { self.started },
-            ..Customer::default()
-        });
+        // Whatever this gatekeeper's former life drew, it cannot have drawn since it started: the local
+        // share is taken as spent at the start, however late the customer shows up.
+        let since = if self.retired { self.now } else { self.started };
+        let new = || Customer::new(p, &key.1, n, self.now, since);
+        let c = self.customers.entry(key.clone()).or_insert_with(new);
         c.gatekeepers = c.gatekeepers.max(n);
         c.seen = self.now;
         self.advance(&key);
@@ -55,33 +42,17 @@
 
     /// Brings a customer's slots and stores to the present.
     pub(super) fn advance(&mut self, key: &Key) {
-        let (now, window) = (self.now, self.window(key.0));
-        let p = &self.set.plans[key.0];
-        let Some(c) = self.customers.get_mut(key) else { return };
-        let slot = (now + c.shift) / window as u64;
-        if slot != c.slot {
-            c.prev = if slot == c.slot + 1 { c.cur } else { Slot::default() };
-            // Units to give back belong to the slot that they were taken from.
-            (c.cur, c.slot, c.pending) = (Slot::default(), slot, c.pending.max(0.0));
-        }
-        let dt = secs(now - c.at);
-        let others = c.others_rate.min(p.rate * (1.0 - OWN_LEAST / c.gatekeepers));
-        // Past a window of silence nothing more is known than a window's use.
-        c.predicted = (c.predicted + others * dt).min(others * window / 1e6);
-        c.level = (c.level + (p.rate - others) * dt).min(p.burst);
-        c.at = now;
-        ceilings::fill(c, p, now, self.retired);
+        let (p, now, retired) = (&self.set.plans[key.0], self.now, self.retired);
+        self.customers.entry(key.clone()).and_modify(|c| c.advance(p, now, retired));
     }
 
-    /// Forgets customers that are idle, out of the box and whose ceiling share is full again, and units that
-    /// no call could carry within their window.
+    /// Forgets customers that are idle, and units that no call could carry within their window.
     pub(super) fn age_out(&mut self, span: Micros) {
         self.find_near();
         self.learn_carried(span);
-        let windows: Vec<f64> = (0..self.set.plans.len()).map(|plan| self.window(plan)).collect();
         (self.counted, self.uncounted) = (self.counted * 0.9, self.uncounted * 0.9);
         self.customers.retain(|key, c| {
-            let (p, window) = (&self.set.plans[key.0], windows[key.0]);
+            let (p, window) = (&self.set.plans[key.0], window(&self.set.plans[key.0]));
             let past = c.pending != 0.0 && (self.now - c.pending_since) as f64 > window;
             self.uncounted += if past { c.pending.max(0.0) } else { 0.0 };
             c.pending = if past { 0.0 } else { c.pending };
@@ -95,3 +66,44 @@
         });
     }
 }
+
+/// The window of a plan's counts, µs.
+pub(super) fn window(p: &Plan) -> f64 {
+    let span = if p.rate > 0.0 { p.burst / p.rate * 1e6 } else { OPEN_WINDOW };
+    span.clamp(1e5, WINDOW_MAX)
+}
+
+impl Customer {
+    /// One that is seen for the first time, at one of so many gatekeepers; its ceiling fills from `since` on.
+    pub fn new(p: &Plan, name: &CustomerId, gatekeepers: f64, now: Micros, since: Micros) -> Customer {
+        Customer {
+            gatekeepers,
+            shift: hash(&name.0) % WINDOW_MAX as u64,
+            level: p.burst / gatekeepers,
+            at: now,
+            read_at: now,
+            others_rate: p.rate * (1.0 - 1.0 / gatekeepers),
+            ceiling_at: since,
+            seen: now,
+            ..Customer::default()
+        }
+    }
+
+    /// Brings slots and stores to the present; once `retired`, nothing comes to its ceiling's.
+    pub fn advance(&mut self, p: &Plan, now: Micros, retired: bool) {
+        let window = window(p);
+        let slot = (now + self.shift) / window as u64;
+        if slot != self.slot {
+            self.prev = if slot == self.slot + 1 { self.cur } else { Slot::default() };
+            // Units to give back belong to the slot that they were taken from.
+            (self.cur, self.slot, self.pending) = (Slot::default(), slot, self.pending.max(0.0));
+        }
+        let dt = secs(now - self.at);
+        let others = self.others_rate.min(p.rate * (1.0 - OWN_LEAST / self.gatekeepers));
+        // Past a window of silence nothing more is known than a window's use.
+        self.predicted = (self.predicted + others * dt).min(others * window / 1e6);
+        self.level = (self.level + (p.rate - others) * dt).min(p.burst);
+        self.at = now;
+        ceilings::fill(self, p, now, retired);
+    }
+}
--- a/crates/decisions/src/gatekeeper/fleet.rs
+++ b/crates/decisions/src/gatekeeper/fleet.rs
@@ -46,8 +46,7 @@
         self.find_near();
     }
 
-    /// Those that this gatekeeper sends to by choice: the first ones, and the next for those that are
-    /// avoided.
+    /// Those that this gatekeeper sends to by choice: the first, and the next for those that are avoided.
     pub(super) fn find_near(&mut self) {
         let enough = (NEAR.1 * self.ready.len() as f64 / self.instances()).ceil() as usize;
         let (mut wanted, mut near) = (NEAR.0.max(enough), 0);
@@ -86,11 +85,10 @@
 
     /// How many listed servers get nothing for now, though they would take it.
     pub fn servers_avoided(&self, now: Micros) -> usize {
-        let avoided = |w: &&Server| {
-            let left_out =
-                self.left_out.contains_key(&w.info.id) && w.info.availability != Availability::Gone;
-            left_out || (w.info.availability == Availability::Ready && w.is_avoided(now))
-        };
+        let out =
+            |w: &Server| self.left_out.contains_key(&w.info.id) && w.info.availability != Availability::Gone;
+        let ill = |w: &Server| w.info.availability == Availability::Ready && w.is_avoided(now);
+        let avoided = |w: &&Server| out(w) || ill(w);
         self.servers.values().filter(avoided).count()
     }
 }
--- a/crates/decisions/src/gatekeeper/mod.rs
+++ b/crates/decisions/src/gatekeeper/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::api::*;
 use crate::state::*;
+use customers::window;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Housekeeping period, µs: short against any aim, long against the clock's resolution.
--- a/crates/decisions/src/gatekeeper/quotas.rs
+++ b/crates/decisions/src/gatekeeper/quotas.rs
@@ -1,52 +1,59 @@
 //! Quotas: units against the burst of a window, the penalty box, and the cap on open requests.
 use super::*;
 
-/// How far the others' use may be off its forecast, as a part of it and in largest requests: a decision
-/// that could turn within this waits for a fresh total.
+/// How far the others' use may be off its forecast, as a part of it and in largest requests.
 const UNSURE: (f64, f64) = (2.0, 0.5);
 /// Age up to which a total counts as fresh, µs: about one call.
 const FRESH: Micros = 5_000;
 
-impl Gatekeeper {
+impl Customer {
     /// Units of the last window, all gatekeepers together, as far as known.
-    pub(super) fn count(&self, c: &Customer, window: f64) -> f64 {
-        let left = 1.0 - ((self.now + c.shift) % window as u64) as f64 / window;
-        let last = (c.prev.mine + c.prev.others) * left;
-        c.cur.mine + c.cur.others + last + c.pending + c.flying + c.predicted - c.prepaid
+    pub(super) fn count(&self, now: Micros, window: f64) -> f64 {
+        let left = 1.0 - ((now + self.shift) % window as u64) as f64 / window;
+        let last = (self.prev.mine + self.prev.others) * left;
+        self.cur.mine + self.cur.others + last + self.pending + self.flying + self.predicted - self.prepaid
     }
 
-    /// The design's ordinary path: count against the quota, the box, the open cap. `Some` is retry advice.
-    pub(super) fn beyond_quota(&mut self, key: &Key, units: f64, prepaid: f64) -> Option<Micros> {
-        let (p, window) = (self.plan(key).clone(), self.window(key.0));
-        let (now, longest) = (self.now, self.set.limits.max_retry_after);
-        let dice = self.rng.f64();
-        let count = self.count(self.customers.get(key)?, window) - prepaid + units;
-        let c = self.customers.get_mut(key)?;
+    /// The design's ordinary path: count against the quota, the box, the open cap. `Some` is retry advice, µs.
+    /// Of `units`, `prepaid` are in the count already; `dice` is drawn from 0 to 1.
+    pub fn beyond(&mut self, p: &Plan, units: f64, prepaid: f64, now: Micros, dice: f64) -> Option<Micros> {
+        let window = window(p);
+        let count = self.count(now, window) - prepaid + units;
         if p.open > 0.0 {
-            let (mine, all) = (c.cur.mine + c.prev.mine + c.pending, c.cur.others + c.prev.others);
-            let share = if c.known && mine + all > 0.0 { mine / (mine + all) } else { 1.0 / c.gatekeepers };
-            if c.open >= (p.open * share).floor().max(1.0) {
-                return Some(longest.min(window as Micros / 4));
+            let (mine, all) =
+                (self.cur.mine + self.prev.mine + self.pending, self.cur.others + self.prev.others);
+            let share =
+                if self.known && mine + all > 0.0 { mine / (mine + all) } else { 1.0 / self.gatekeepers };
+            if self.open >= (p.open * share).floor().max(1.0) {
+                return Some(window as Micros / 4);
             }
         }
         if p.rate <= 0.0 {
             return None;
         }
-        let part = p.burst / c.gatekeepers;
+        let part = p.burst / self.gatekeepers;
         // Until a total is read the others are taken to use as much as this gatekeeper.
-        if count > if c.known { p.burst } else { part.max(units) } {
-            c.boxed_until = now + window as Micros;
+        if count > if self.known { p.burst } else { part.max(units) } {
+            self.boxed_until = now + window as Micros;
         }
-        if now >= c.boxed_until || c.level >= units {
+        if now >= self.boxed_until || self.level >= units {
             return None;
         }
         // Where a part of the burst is less than one request, and no total could be had, what has gathered is
         // rounded at random, so that the expected use stays the share.
-        if part < units && dice * units < c.level && !(c.known && now <= c.read_at + FRESH) {
+        if part < units && dice * units < self.level && !(self.known && now <= self.read_at + FRESH) {
             return None;
         }
-        let gain = (p.rate - c.others_rate).max(p.rate / c.gatekeepers / 2.0);
-        Some((((units - c.level) / gain * 1e6) as Micros).min(longest))
+        let gain = (p.rate - self.others_rate).max(p.rate / self.gatekeepers / 2.0);
+        Some(((units - self.level) / gain * 1e6) as Micros)
+    }
+}
+
+impl Gatekeeper {
+    pub(super) fn beyond_quota(&mut self, key: &Key, units: f64, prepaid: f64) -> Option<Micros> {
+        let (dice, p) = (self.rng.f64(), &self.set.plans[key.0]);
+        let wait = self.customers.get_mut(key)?.beyond(p, units, prepaid, self.now, dice)?;
+        Some(wait.min(self.set.limits.max_retry_after))
     }
 
     /// Whether a total could turn the decision: the others' use since the last one, or none read yet.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -49,4 +49,4 @@
 
 pub use api::*;
 pub use gatekeeper::Gatekeeper;
-pub use state::{hash, Handover};
+pub use state::{hash, Customer, Handover};
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -6,49 +6,59 @@
 /// One customer's own and others' units in one slot, as the counter has them.
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Slot {
-    pub mine: f64,
-    pub others: f64,
-    pub read: bool,
+    pub(crate) mine: f64,
+    pub(crate) others: f64,
+    pub(crate) read: bool,
 }
 
 pub type Key = (usize, CustomerId);
 
+/// What one customer has used, and may use: kept by each gatekeeper, whatever program it is of.
 #[derive(Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Customer {
     #[serde(rename = "gateways")]
-    pub gatekeepers: f64,
+    pub(crate) gatekeepers: f64,
     /// Moves this customer's slots, so that not all customers start one at the same time.
-    pub shift: Micros,
-    pub slot: u64,
-    pub cur: Slot,
-    pub prev: Slot,
+    pub(crate) shift: Micros,
+    pub(crate) slot: u64,
+    pub(crate) cur: Slot,
+    pub(crate) prev: Slot,
     #[serde(skip)]
-    pub pending: f64,
+    pub(crate) pending: f64,
     #[serde(skip)]
-    pub pending_since: Micros,
+    pub(crate) pending_since: Micros,
     #[serde(skip)]
-    pub flying: f64,
-    pub known: bool,
-    pub level: f64,
-    pub at: Micros,
-    pub read_at: Micros,
-    pub predicted: f64,
-    pub others_rate: f64,
-    pub boxed_until: Micros,
-    pub ceiling: f64,
-    pub ceiling_at: Micros,
+    pub(crate) flying: f64,
+    pub(crate) known: bool,
+    pub(crate) level: f64,
+    pub(crate) at: Micros,
+    pub(crate) read_at: Micros,
+    pub(crate) predicted: f64,
+    pub(crate) others_rate: f64,
+    pub(crate) boxed_until: Micros,
+    pub(crate) ceiling: f64,
+    pub(crate) ceiling_at: Micros,
+    /// Requests that are open at once.
     #[serde(skip)]
     pub open: f64,
-    pub seen: Micros,
+    pub(crate) seen: Micros,
     /// Calls to the counter in flight, the requests whose decision waits for their answers, and the units of
     /// these that are in the counts already.
     #[serde(skip)]
-    pub calls_out: u32,
+    pub(crate) calls_out: u32,
     #[serde(skip)]
-    pub waiting: Vec<RequestId>,
+    pub(crate) waiting: Vec<RequestId>,
     #[serde(skip)]
-    pub prepaid: f64,
+    pub(crate) prepaid: f64,
+}
+
+impl Customer {
+    /// Counts units that are used here, where nothing else counts them.
+    pub fn take(&mut self, units: f64) {
+        self.level -= units;
+        self.cur.mine += units;
+    }
 }
 
 /// What one class of requests met at one server.
--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -174,7 +174,7 @@
     if exchange.sessions.borrow_mut().remove(&id).is_some() {
         let left = matches!(ended, line::Ended::Closed | line::Ended::Broken { .. });
         log::info!("session {id}: {ended}");
-        exchange.marker.borrow_mut().on_closed(id, left);
+        exchange.step(|marker, _, out| marker.on_closed(id, left, out));
     }
 }
 
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -81,13 +81,6 @@
         }
     }
 
-    /// Tells one how many gatekeepers there are.
-    pub fn count_news(&mut self, id: SessionId, count: u32) -> Vec<Output> {
-        let mut out = Vec::new();
-        self.tell(id, News::Gatekeepers(count), &mut out);
-        out
-    }
-
     /// The life of a session's gatekeeper.
     pub fn life(&self, id: SessionId) -> Option<u64> {
         self.sessions.get(&id).map(|s| s.life)
@@ -109,7 +102,8 @@
         (self.sessions.values().filter(|s| s.has >= Some(version)).count(), self.sessions.len())
     }
 
-    fn tell(&mut self, id: SessionId, news: News, out: &mut Vec<Output>) {
+    /// Tells one.
+    pub fn tell(&mut self, id: SessionId, news: News, out: &mut Vec<Output>) {
         if let Some(session) = self.sessions.get_mut(&id) {
             session.sent += 1;
             out.push(Output::Tell(id, Down::News(session.sent, news)));
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -12,14 +12,14 @@
 use trunk::words::{Between, Document, Down, Instance, News, Node, State, Up};
 
 /// How often totals go out, and what servers have beaten here.
-const TOTALS: Millis = 100;
+const TOTALS: Millis = 50;
 /// See [`TOTALS`].
 const ALIVE: Millis = 700;
 /// How often markers tell each other their sessions.
 const SESSIONS: Millis = 500;
-/// A gatekeeper that no marker has a session with is counted for so long all the same: it may be cut off, and
-/// goes on letting in its part.
-const MISSED: Millis = 12_000;
+/// A gatekeeper that no marker has heard for the first is missed, and until the second it is counted all the same: it
+/// may be cut off, and goes on letting in its part.
+const MISSED: (Millis, Millis) = (1_300, 15_000);
 
 /// What is known of another marker.
 #[derive(Default)]
@@ -38,7 +38,7 @@
     peers: BTreeMap<Ipv4Addr, Peer>,
     /// Gatekeepers that were members lately, by name: when last, and the life.
     members: BTreeMap<String, (Millis, u64)>,
-    told_members: u32,
+    told_members: (u32, u32),
     told_markers: Vec<Ipv4Addr>,
     totals_at: Millis,
     alive_at: Millis,
@@ -82,7 +82,7 @@
             tally: Tally::default(),
             peers: BTreeMap::new(),
             members: BTreeMap::new(),
-            told_members: 0,
+            told_members: (1, 0),
             told_markers: Vec::new(),
             totals_at: 0,
             alive_at: 0,
@@ -184,6 +184,7 @@
             Between::Sessions(members) => {
                 self.members.extend(members.into_iter().map(|(life, name)| (name, (now, life))));
             }
+            Between::Left(name) => drop(self.members.remove(&name)),
             Between::Adds(adds) => self.tally.count(&adds),
             word => self.core.on_word(now, from, word, out),
         }
@@ -216,8 +217,8 @@
                 }
                 let (all, markers) = (self.registry.all(), self.markers());
                 self.sessions.open(session, life, name, has, self.core.sure(), all, markers, &self.zone, out);
-                let count = self.told_members.max(1);
-                out.extend(self.sessions.count_news(session, count));
+                let (all, missed) = self.told_members;
+                self.sessions.tell(session, News::Gatekeepers(all, missed), out);
             }
             Up::Home(home) => {
                 self.tally.close(session);
@@ -235,9 +236,13 @@
     }
 
     /// A session ends; `left` says that its process ended or left, and is not merely silent.
-    pub fn on_closed(&mut self, session: SessionId, left: bool) {
-        if let (true, Some(name)) = (left, self.sessions.name(session)) {
+    pub fn on_closed(&mut self, session: SessionId, left: bool, out: &mut Vec<Output>) {
+        let home = self.sessions.life(session).is_some_and(|life| self.tally.lives().contains(&life));
+        if let (true, Some(name)) = (left && home, self.sessions.name(session)) {
             self.members.remove(&name);
+            for ip in self.core.known() {
+                out.push(Output::Send(ip, Between::Left(name.clone())));
+            }
         }
         self.tally.close(session);
         self.sessions.close(session);
@@ -283,11 +288,12 @@
             let here = self.sessions.names(&self.tally.lives());
             out.extend(peers.iter().map(|ip| Output::Send(*ip, Between::Sessions(here.clone()))));
             self.members.extend(here.into_iter().map(|(life, name)| (name, (now, life))));
-            self.members.retain(|_, (at, _)| now < *at + MISSED);
-            let members = self.members.len() as u32;
+            self.members.retain(|_, (at, _)| now < *at + MISSED.1);
+            let missed = self.members.values().filter(|(at, _)| now >= *at + MISSED.0).count() as u32;
+            let members = ((self.members.len() as u32).max(1), missed);
             if members != self.told_members {
                 self.told_members = members;
-                self.sessions.tell_all(&News::Gatekeepers(members), out);
+                self.sessions.tell_all(&News::Gatekeepers(members.0, members.1), out);
             }
             let markers = self.markers();
             if markers != self.told_markers {
--- a/crates/trunk/src/words.rs
+++ b/crates/trunk/src/words.rs
@@ -169,6 +169,8 @@
     Alive(Vec<(String, u64)>),
     /// The gatekeepers whose home the sender is: lives and names.
     Sessions(Vec<(u64, String)>),
+    /// The process of a gatekeeper has ended: its name.
+    Left(String),
     /// Requests let in, by tenant, since the last time.
     Adds(Vec<(String, u64)>),
 }
@@ -222,8 +224,9 @@
     Whole(String),
     /// All markers that are known.
     Markers(Vec<Ipv4Addr>),
-    /// How many gatekeepers there are.
-    Gatekeepers(u32),
+    /// How many gatekeepers there are, and how many of them no marker hears, though none has seen them end: these
+    /// may be cut off, and go on letting in their part.
+    Gatekeepers(u32, u32),
 }
 
 /// All that a connection carries.
