Come back sooner after all lose power: keep servers and the safe version on disk

Cause: markers knew no configuration as safe until a primary was found (first round 0.8 to 1.2 s after the start), and no server until each had beaten again. Change: the safe version and the servers are on disk; the last primary begins at once where nobody is heard; requests wait for the first configuration up to 0.7 s. Cuts are noticed after 0.6 to 0.8 s in place of 1.3 to 2 s, for quotas. Failed on the way: null in the folder was not read back, so that a marker without an epoch ended at its second start; a test holds it now.

--- a/crates/crossbar/src/front.rs
+++ b/crates/crossbar/src/front.rs
@@ -29,6 +29,10 @@
 /// Part of the time that is left in which a repeatable request's server must have answered, before another is tried.
 const PATIENCE: f64 = 0.6;
 
+/// How long a request waits at the most for the first configuration, and which part of its time.
+const START: Duration = Duration::from_millis(700);
+const START_PART: f64 = 0.3;
+
 /// The body of an answer to a client.
 pub type Out = UnsyncBoxBody<Bytes, hyper::Error>;
 
@@ -40,6 +44,8 @@
     pub dials: Rc<Dials>,
     /// Told when a server has room again, or there is another.
     pub room: Notify,
+    /// Told when a marker has told something.
+    pub news: Notify,
     /// Requests that are not answered yet.
     pub open: Cell<usize>,
     /// Bytes of requests held at once, and how many there may be.
@@ -115,6 +121,7 @@
             gate: RefCell::new(gate),
             dials: Rc::new(dials),
             room: Notify::new(),
+            news: Notify::new(),
             open: Cell::new(0),
             held: Cell::new(0),
             held_max,
@@ -141,6 +148,7 @@
     async fn handle(&self, parts: &Parts, body: Incoming) -> Response<Out> {
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
         let Some(host) = host.or(parts.uri.host()) else { return self.refuse(Kind::Malformed, None) };
+        self.wait_for_configuration(&parts.headers).await;
         let admitted = self.gate.borrow_mut().admit(self.now(), host, parts.uri.path(), &parts.headers);
         let pass = match admitted {
             Ok(pass) => pass,
@@ -159,6 +167,18 @@
         self.travel(parts, body, &pass).await
     }
 
+    /// A gatekeeper that has just started knows soon what to do with a request: better than to send it away.
+    async fn wait_for_configuration(&self, headers: &HeaderMap) {
+        let told = headers.get(names::DEADLINE).and_then(|value| value.to_str().ok()?.parse().ok());
+        let wait = told.map_or(START, Duration::from_millis).mul_f64(START_PART).min(START);
+        let known = async {
+            while self.gate.borrow().configuration.is_none() {
+                self.news.notified().await;
+            }
+        };
+        let _ = tokio::time::timeout(wait, known).await;
+    }
+
     async fn collect(&self, body: Incoming, limit: usize) -> Result<Bytes, Kind> {
         match tokio::time::timeout(BODY_TIME, Limited::new(body, limit).collect()).await {
             Err(_) => Err(Kind::TooSlow),
--- a/crates/crossbar/src/run.rs
+++ b/crates/crossbar/src/run.rs
@@ -26,7 +26,7 @@
 /// How often what was let in is told, and sessions are looked after.
 const BATCH: Duration = Duration::from_millis(50);
 /// How often a session says that it stands.
-const PING: Duration = Duration::from_millis(500);
+const PING: Duration = Duration::from_millis(250);
 /// A marker that says nothing for so long is gone: it would have answered three times.
 const SILENCE: Duration = Duration::from_millis(1_800);
 /// How often idle connections and the settings file are looked at.
@@ -143,6 +143,7 @@
             let (version, _) = self.front.gate.borrow_mut().take(self.front.now(), change);
             say.extend(version.map(|version| (ip, Up::Has(version))));
             self.front.room.notify_waiters();
+            self.front.news.notify_waiters();
         }
         self.say(say);
     }
--- a/crates/crossbar/src/tenants.rs
+++ b/crates/crossbar/src/tenants.rs
@@ -14,6 +14,8 @@
 const IDLE: Millis = 240_000;
 /// Requests of a tenant that may be open at once: its requests of so many seconds, and never fewer than the second.
 const OPEN: (f64, f64) = (3.0, 20.0);
+/// How far a store may be overdrawn by what was let in unseen, in bursts: it is made up for before more is let in.
+const DEEPEST: f64 = 3.0;
 /// Least burst, in seconds of the rate, and in requests.
 const BURST: (f64, f64) = (0.2, 1.0);
 /// Longest advice on when to come back.
@@ -126,7 +128,7 @@
             let others = news.get(name.as_str()).copied().unwrap_or(0) as f64;
             let plan = scaled(&entry.plan, part);
             entry.customer.advance(&plan, at, false);
-            entry.customer.hear(&plan, others, true, -plan.burst, at);
+            entry.customer.hear(&plan, others, true, -DEEPEST * plan.burst, at);
         }
     }
 
--- a/crates/decisions/src/gatekeeper/counter.rs
+++ b/crates/decisions/src/gatekeeper/counter.rs
@@ -116,8 +116,8 @@
 }
 
 impl Customer {
-    /// A total says that the others have used so many units more, in the present slot or the last. The store is
-    /// `least` at the least.
+    /// A total says that the others have used so many units more, in the present slot or the last. The
+    /// store is `least` at the least.
     pub fn hear(&mut self, p: &Plan, news: f64, now_slot: bool, least: f64, now: Micros) {
         let (window, mut dt) = (window(p), secs(now - self.read_at).max(1e-3));
         self.level = if self.known { self.level + self.predicted - news } else { p.burst };
--- a/crates/marker/src/core.rs
+++ b/crates/marker/src/core.rs
@@ -30,8 +30,8 @@
 const HEARD: Millis = 700;
 /// Without a primary for between the first and the second, whoever holds everything begins a round; drawn.
 const SUSPECT: (Millis, Millis) = (750, 1_150);
-/// The same at the start of all, for the founder of the lowest address.
-const FOUND: Millis = 250;
+/// The same at a start: for the last primary or the first founder, and for others that much later; drawn.
+const START: (Millis, Millis, Millis) = (2 * HEAR / 3, 150, 450);
 /// A round that does not get on in this time is given up, and another is begun after a drawn wait.
 const ROUND: Millis = 600;
 /// The wait before another round, drawn up to the second; doubled up to the third while rounds fail.
@@ -166,14 +166,15 @@
 pub fn begin(ip: Ipv4Addr, seeds: &[Ipv4Addr], first_start: bool, drawn: u64) -> Keeping {
     if !(first_start && seeds.contains(&ip)) {
         let node = Node { ip, folder: drawn | 1 << 63 };
-        return Keeping { node, promised: Number::default(), epoch: None, document: None };
+        return Keeping { node, promised: Number::default(), epoch: None, document: None, sure: None };
     }
     let mut core: Vec<Node> = seeds.iter().copied().map(founder).collect();
     core.sort();
     core.dedup();
     let founding =
         Epoch { number: Number::default(), before: core.clone(), backups: core.clone(), core, primary: None };
-    Keeping { node: founder(ip), promised: Number::default(), epoch: Some(founding), document: None }
+    let (node, epoch) = (founder(ip), Some(founding));
+    Keeping { node, promised: Number::default(), epoch, document: None, sure: None }
 }
 
 fn most(of: &[Node], agree: impl Fn(&Node) -> bool) -> bool {
@@ -183,10 +184,17 @@
 impl Core {
     /// A marker that has kept this.
     pub fn new(keeping: Keeping, seeds: &[Ipv4Addr], losses: usize, seed: u64, now: Millis) -> Core {
-        let Keeping { node, promised, epoch, document } = keeping;
+        let Keeping { node, promised, epoch, document, sure } = keeping;
         let mut rng = fastrand::Rng::with_seed(seed);
-        let first = epoch.as_ref().is_some_and(|e| e.primary.is_none() && e.core.first() == Some(&node));
-        let suspect_after = if first { FOUND } else { rng.u64(SUSPECT.0..SUSPECT.1) };
+        // Nobody has been heard yet, and so nobody missed: whoever held everything last begins soon. Where there is
+        // a primary the others say so before.
+        let first = epoch.as_ref().is_some_and(|e| match e.primary {
+            Some(primary) => primary == node,
+            None => e.core.first() == Some(&node),
+        });
+        let suspect_after = START.0 + if first { 0 } else { rng.u64(START.1..START.2) };
+        // What was safe from loss still is, and may be in force before there is a primary again.
+        let safe = document.clone().filter(|d| sure.is_some_and(|sure| d.version <= sure));
         Core {
             me: node,
             seeds: seeds.to_vec(),
@@ -197,7 +205,7 @@
             promised,
             epoch,
             document,
-            sure: None,
+            sure: safe,
             heard: BTreeMap::new(),
             said: 0,
             primary: None,
@@ -295,6 +303,7 @@
             promised: self.promised,
             epoch: self.epoch.clone(),
             document: self.document.clone(),
+            sure: self.sure.as_ref().map(|d| d.version),
         };
         out.push(Output::Write(self.ticket, keeping));
     }
@@ -589,6 +598,9 @@
         }
         let version = document.version;
         self.sure = Some(document.clone());
+        if self.document.as_ref().is_some_and(|d| d.version == version) {
+            self.keep(Then::Nothing, out);
+        }
         if self.leading.is_some() {
             for ip in self.live() {
                 self.say(ip, Between::Sure(Document::clone(&document)), out);
--- a/crates/marker/src/parts.rs
+++ b/crates/marker/src/parts.rs
@@ -3,7 +3,7 @@
 use plugboard::kinds::Kind;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Between, Document, Down, Epoch, Node, Number};
+use trunk::words::{Between, Document, Down, Epoch, Instance, Node, Number};
 
 /// What has to last.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,6 +16,8 @@
     pub epoch: Option<Epoch>,
     /// The configuration that is held.
     pub document: Option<Arc<Document>>,
+    /// The newest version that is known to be safe from loss.
+    pub sure: Option<u32>,
 }
 
 /// An answer to a call of a server or an operator.
@@ -67,6 +69,8 @@
     Write(u64, Keeping),
     /// Answer a call.
     Answer(u64, Reply),
+    /// Put the servers on disk, whenever there is time.
+    Servers(Vec<Instance>),
     /// A configuration can't be lost any more.
     Sure(Arc<Document>),
 }
--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -2,9 +2,9 @@
 
 use crate::calls;
 use crate::core::{self, Core, Millis};
-use crate::parts::{Keeping, Output, Reply, SessionId};
+use crate::parts::{Output, Reply, SessionId};
 use crate::state::Marker;
-use crate::store::{self, Store};
+use crate::store::{self, Job, Store};
 use granitelead_base::Backoff;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -70,7 +70,7 @@
     begun: Instant,
     control: SocketAddrV4,
     internal_port: u16,
-    writes: mpsc::Sender<(u64, Keeping)>,
+    writes: mpsc::Sender<Job>,
     lines: RefCell<BTreeMap<Ipv4Addr, Sender>>,
     sessions: RefCell<BTreeMap<SessionId, Sender>>,
     calls: RefCell<BTreeMap<u64, oneshot::Sender<Reply>>>,
@@ -108,7 +108,10 @@
                 }
                 Output::Write(ticket, keeping) => {
                     // The writer ends with the process only.
-                    let _ = self.writes.send((ticket, keeping));
+                    let _ = self.writes.send(Job::Keep(ticket, keeping));
+                }
+                Output::Servers(servers) => {
+                    let _ = self.writes.send(Job::Servers(servers));
                 }
                 Output::Answer(id, reply) => {
                     if let Some(call) = self.calls.borrow_mut().remove(&id) {
@@ -259,6 +262,7 @@
             begin
         }
     };
+    let servers = store.servers().context(FolderSnafu)?;
     let (writes, to_write) = mpsc::channel();
     let (written, mut is_written) = tokio::sync::mpsc::unbounded_channel();
     std::thread::spawn(move || {
@@ -271,8 +275,10 @@
     let inner = listen(SocketAddr::from((settings.ip, settings.internal_port))).await?;
     let outer = listen(control.into()).await?;
     let core = Core::new(keeping, &seeds, settings.losses, fastrand::u64(..), 0);
+    let beat = settings.beat.as_millis() as Millis;
+    let marker = Marker::new(core, settings.zone.clone(), beat, servers);
     let exchange = Rc::new(Exchange {
-        marker: RefCell::new(Marker::new(core, settings.zone.clone(), settings.beat.as_millis() as Millis)),
+        marker: RefCell::new(marker),
         begun: Instant::now(),
         control,
         internal_port: settings.internal_port,
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -9,6 +9,8 @@
 
 /// How long something may wait until all know it; servers wait a second for their answer.
 const KNOWN: Millis = 550;
+/// A session that says nothing for so long is not heard: it says that it stands three times as often.
+const HEARD: Millis = 800;
 /// Sessions at once.
 pub const SESSIONS_MAX: usize = 2_000;
 
@@ -27,6 +29,7 @@
     sent: u64,
     got: u64,
     has: Option<u32>,
+    heard: Millis,
 }
 
 struct Wait {
@@ -50,6 +53,7 @@
     #[allow(clippy::too_many_arguments)] // All that a session begins with.
     pub fn open(
         &mut self,
+        now: Millis,
         id: SessionId,
         life: u64,
         name: String,
@@ -64,7 +68,7 @@
             log::error!("more than {SESSIONS_MAX} sessions: {name} is not taken in");
             return;
         }
-        self.sessions.insert(id, Session { life, name, sent: 0, got: 0, has });
+        self.sessions.insert(id, Session { life, name, sent: 0, got: 0, has, heard: now });
         if let Some(document) = sure.filter(|d| has.is_none_or(|has| has < d.version)) {
             self.tell(id, News::Configuration(Document::clone(document)), out);
         }
@@ -91,9 +95,17 @@
         self.sessions.get(&id).map(|s| s.name.clone())
     }
 
-    /// Lives and names of the gatekeepers with these sessions.
-    pub fn names(&self, lives: &[u64]) -> Vec<(u64, String)> {
-        let meant = self.sessions.values().filter(|s| lives.contains(&s.life));
+    /// A gatekeeper says that its session stands.
+    pub fn on_ping(&mut self, now: Millis, id: SessionId) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.heard = now;
+        }
+    }
+
+    /// Lives and names of the gatekeepers with these lives that are heard.
+    pub fn names(&self, now: Millis, lives: &[u64]) -> Vec<(u64, String)> {
+        let heard = self.sessions.values().filter(|s| now < s.heard + HEARD);
+        let meant = heard.filter(|s| lives.contains(&s.life));
         meant.map(|s| (s.life, s.name.clone())).collect()
     }
 
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -16,10 +16,12 @@
 /// See [`TOTALS`].
 const ALIVE: Millis = 700;
 /// How often markers tell each other their sessions.
-const SESSIONS: Millis = 500;
+const SESSIONS: Millis = 250;
 /// A gatekeeper that no marker has heard for the first is missed, and until the second it is counted all the same: it
 /// may be cut off, and goes on letting in its part.
-const MISSED: (Millis, Millis) = (1_300, 15_000);
+const MISSED: (Millis, Millis) = (600, 15_000);
+/// How often the servers are put on disk, where they have changed.
+const SERVERS: Millis = 400;
 
 /// What is known of another marker.
 #[derive(Default)]
@@ -43,6 +45,8 @@
     totals_at: Millis,
     alive_at: Millis,
     sessions_at: Millis,
+    servers_at: Millis,
+    servers_changed: bool,
 }
 
 /// A call of a server or an operator, taken apart.
@@ -72,12 +76,16 @@
 }
 
 impl Marker {
-    /// One whose core has kept what it has; servers beat so often.
-    pub fn new(core: Core, zone: String, beat: Millis) -> Marker {
+    /// One whose core has kept what it has; servers beat so often, and these were known last.
+    pub fn new(core: Core, zone: String, beat: Millis, servers: Vec<Instance>) -> Marker {
+        let mut registry = Registry::new(beat);
+        for server in servers {
+            registry.take(0, server);
+        }
         Marker {
             core,
             zone,
-            registry: Registry::new(beat),
+            registry,
             sessions: Sessions::default(),
             tally: Tally::default(),
             peers: BTreeMap::new(),
@@ -87,6 +95,8 @@
             totals_at: 0,
             alive_at: 0,
             sessions_at: 0,
+            servers_at: 0,
+            servers_changed: false,
         }
     }
 
@@ -143,7 +153,7 @@
     /// Tells all what has changed of servers. A server that leaves is answered once all know.
     fn spread(&mut self, now: Millis, id: u64, leaves: bool, changed: Vec<Instance>, out: &mut Vec<Output>) {
         if !changed.is_empty() {
-            self.sessions.tell_all(&News::Servers(changed.clone()), out);
+            self.tell_servers(changed.clone(), out);
         }
         let live = self.core.live();
         // Also where nothing is new here: an answer may have been lost before all knew.
@@ -161,6 +171,11 @@
         }
     }
 
+    fn tell_servers(&mut self, changed: Vec<Instance>, out: &mut Vec<Output>) {
+        self.servers_changed = true;
+        self.sessions.tell_all(&News::Servers(changed), out);
+    }
+
     /// Another marker says something.
     pub fn on_word(&mut self, now: Millis, from: Node, word: Between, out: &mut Vec<Output>) {
         match word {
@@ -168,7 +183,7 @@
                 let changed: Vec<Instance> =
                     servers.into_iter().flat_map(|server| self.registry.take(now, server)).collect();
                 if !changed.is_empty() {
-                    self.sessions.tell_all(&News::Servers(changed), out);
+                    self.tell_servers(changed, out);
                 }
                 if ticket > 0 {
                     self.sessions.wait(now, Waiter::Marker(from.ip, ticket), &[]);
@@ -178,7 +193,7 @@
             Between::Alive(lives) => {
                 let changed = self.registry.on_alive(now, &lives);
                 if !changed.is_empty() {
-                    self.sessions.tell_all(&News::Servers(changed), out);
+                    self.tell_servers(changed, out);
                 }
             }
             Between::Sessions(members) => {
@@ -213,13 +228,28 @@
                     changed.extend(self.registry.take(now, server));
                 }
                 if !changed.is_empty() {
-                    self.sessions.tell_all(&News::Servers(changed), out);
+                    self.tell_servers(changed, out);
                 }
                 let (all, markers) = (self.registry.all(), self.markers());
-                self.sessions.open(session, life, name, has, self.core.sure(), all, markers, &self.zone, out);
+                self.sessions.open(
+                    now,
+                    session,
+                    life,
+                    name,
+                    has,
+                    self.core.sure(),
+                    all,
+                    markers,
+                    &self.zone,
+                    out,
+                );
                 let (all, missed) = self.told_members;
                 self.sessions.tell(session, News::Gatekeepers(all, missed), out);
             }
+            Up::Ping => {
+                self.sessions.on_ping(now, session);
+                out.push(Output::Tell(session, Down::Pong));
+            }
             Up::Home(home) => {
                 self.tally.close(session);
                 if let (true, Some(life)) = (home, self.sessions.life(session)) {
@@ -230,7 +260,6 @@
             Up::Got(number) => self.sessions.on_got(session, number),
             Up::Has(version) => self.sessions.on_has(session, version),
             Up::Adds(number, adds) => self.tally.on_adds(session, number, &adds),
-            Up::Ping => out.push(Output::Tell(session, Down::Pong)),
         }
         self.after(now, out);
     }
@@ -264,7 +293,7 @@
         self.core.on_tick(now, out);
         let gone = self.registry.on_tick(now, !self.core.hears_most());
         if !gone.is_empty() {
-            self.sessions.tell_all(&News::Servers(gone), out);
+            self.tell_servers(gone, out);
         }
         let peers: Vec<Ipv4Addr> = self.core.live();
         if now >= self.totals_at + TOTALS {
@@ -283,9 +312,13 @@
                 out.extend(peers.iter().map(|ip| Output::Send(*ip, Between::Alive(beaten.clone()))));
             }
         }
+        if self.servers_changed && now >= self.servers_at + SERVERS {
+            (self.servers_at, self.servers_changed) = (now, false);
+            out.push(Output::Servers(self.registry.all()));
+        }
         if now >= self.sessions_at + SESSIONS {
             self.sessions_at = now;
-            let here = self.sessions.names(&self.tally.lives());
+            let here = self.sessions.names(now, &self.tally.lives());
             out.extend(peers.iter().map(|ip| Output::Send(*ip, Between::Sessions(here.clone()))));
             self.members.extend(here.into_iter().map(|(life, name)| (name, (now, life))));
             self.members.retain(|_, (at, _)| now < *at + MISSED.1);
--- a/crates/marker/src/store.rs
+++ b/crates/marker/src/store.rs
@@ -12,7 +12,7 @@
 use std::sync::mpsc;
 use std::sync::Arc;
 use std::time::Duration;
-use trunk::words::Document;
+use trunk::words::{Document, Epoch, Instance};
 
 /// The form of the folder. Another form is not read.
 const FORM: i64 = 1;
@@ -133,10 +133,32 @@
         let (Some(node), Some(promised)) = (self.get("node")?, self.get("promised")?) else {
             return Ok(None);
         };
-        let epoch = self.get("epoch")?;
-        let document: Option<Document> = self.get("document")?;
+        // What there may be none of is kept as such.
+        let epoch = self.get::<Option<Epoch>>("epoch")?.flatten();
+        let sure = self.get::<Option<u32>>("sure")?.flatten();
+        let document = self.get::<Option<Document>>("document")?.flatten();
         self.document = document.map(Arc::new);
-        Ok(Some(Keeping { node, promised, epoch, document: self.document.clone() }))
+        Ok(Some(Keeping { node, promised, epoch, document: self.document.clone(), sure }))
+    }
+
+    /// The servers that were known last.
+    ///
+    /// # Errors
+    ///
+    /// Why they can't be read.
+    pub fn servers(&self) -> Result<Vec<Instance>, Fault> {
+        Ok(self.get("servers")?.unwrap_or_default())
+    }
+
+    /// Keeps the servers.
+    ///
+    /// # Errors
+    ///
+    /// Why they are not kept.
+    pub fn write_servers(&self, servers: &[Instance]) -> Result<(), Fault> {
+        let put = "INSERT OR REPLACE INTO kept (name, value) VALUES ('servers', ?1)";
+        self.disk.execute(put, params![bytes(&servers)]).context(DiskSnafu { file: &self.file })?;
+        Ok(())
     }
 
     /// Keeps this, synced.
@@ -151,12 +173,6 @@
     }
 
     fn put(&mut self, keeping: &Keeping) -> rusqlite::Result<()> {
-        fn bytes(value: &impl Serialize) -> Vec<u8> {
-            let mut bytes = Vec::new();
-            // Writing to memory does not fail.
-            let _ = ciborium::into_writer(value, &mut bytes);
-            bytes
-        }
         let same = match (&self.document, &keeping.document) {
             (Some(a), Some(b)) => Arc::ptr_eq(a, b),
             (None, None) => true,
@@ -169,6 +185,7 @@
             put.execute(params!["node", bytes(&keeping.node)])?;
             put.execute(params!["promised", bytes(&keeping.promised)])?;
             put.execute(params!["epoch", bytes(&keeping.epoch)])?;
+            put.execute(params!["sure", bytes(&keeping.sure)])?;
             if !same {
                 put.execute(params!["document", bytes(&keeping.document.as_deref())])?;
             }
@@ -177,20 +194,53 @@
     }
 }
 
+fn bytes(value: &impl Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    // Writing to memory does not fail.
+    let _ = ciborium::into_writer(value, &mut bytes);
+    bytes
+}
+
+/// What is to be written.
+#[derive(Debug)]
+pub enum Job {
+    /// What has to last, under a ticket.
+    Keep(u64, Keeping),
+    /// The servers, which may be lost.
+    Servers(Vec<Instance>),
+}
+
 /// Writes what comes until nobody sends any more; tells the ticket of each write once it is there.
-pub fn run(mut store: Store, writes: &mpsc::Receiver<(u64, Keeping)>, mut written: impl FnMut(u64)) {
-    while let Ok(mut newest) = writes.recv() {
-        loop {
-            newest = writes.try_iter().last().unwrap_or(newest);
-            match store.write(&newest.1) {
-                Ok(()) => break,
+pub fn run(mut store: Store, jobs: &mpsc::Receiver<Job>, mut written: impl FnMut(u64)) {
+    let (mut keep, mut servers) = (None, None);
+    while let Ok(job) = jobs.recv() {
+        for job in std::iter::once(job).chain(jobs.try_iter()) {
+            match job {
+                Job::Keep(ticket, keeping) => keep = Some((ticket, keeping)),
+                Job::Servers(known) => servers = Some(known),
+            }
+        }
+        while let Some((ticket, keeping)) = keep.take() {
+            match store.write(&keeping) {
+                Ok(()) => written(ticket),
                 Err(fault) => {
                     log::error!("not kept: {fault}");
                     std::thread::sleep(AGAIN);
+                    keep = Some((ticket, keeping));
+                    for job in jobs.try_iter() {
+                        match job {
+                            Job::Keep(ticket, keeping) => keep = Some((ticket, keeping)),
+                            Job::Servers(known) => servers = Some(known),
+                        }
+                    }
                 }
             }
         }
-        written(newest.0);
+        if let Some(known) = servers.take() {
+            if let Err(fault) = store.write_servers(&known) {
+                log::warn!("servers not kept: {fault}");
+            }
+        }
     }
 }
 
@@ -210,9 +260,10 @@
     fn what_is_written_is_read_back_and_an_empty_folder_is_told_from_it() {
         let mut store = Store::in_memory().unwrap();
         expect_that!(store.read().unwrap(), none());
-        for version in [1, 2] {
-            store.write(&keeping(version)).unwrap();
-            expect_that!(store.read().unwrap(), some(eq(&keeping(version))));
+        let outside = core::begin([10, 1, 0, 2].into(), &[], false, 5);
+        for kept in [keeping(1), Keeping { sure: Some(2), ..keeping(2) }, outside] {
+            store.write(&kept).unwrap();
+            expect_that!(store.read().unwrap(), some(eq(&kept)));
         }
     }
 
@@ -228,7 +279,7 @@
     fn of_writes_that_wait_the_newest_is_written_and_its_ticket_told() {
         let (send, writes) = mpsc::channel();
         for ticket in 1..=5 {
-            send.send((ticket, keeping(ticket as u32))).unwrap();
+            send.send(Job::Keep(ticket, keeping(ticket as u32))).unwrap();
         }
         drop(send);
         let mut told = Vec::new();
