Take only a part of a tenant's store until the others are heard of

Cause: totals are some 150 ms old; all gatekeepers saw the same full store at the start of the hot time and let in at eight times the usual rate until they heard. Change: between two totals each lets in its part of what is left, and one in any case.

--- a/crates/crossbar/src/tenants.rs
+++ b/crates/crossbar/src/tenants.rs
@@ -18,6 +18,10 @@
 const DEEPEST: f64 = 3.0;
 /// Least burst, in seconds of the rate, and in requests.
 const BURST: (f64, f64) = (0.2, 1.0);
+/// Time, ms, after which what was let in counts a third in the parts of all.
+const LATELY: f64 = 2_000.0;
+/// When there is room here again, as a rule: once the others are heard of.
+const ROOM: Millis = 100;
 /// Longest advice on when to come back.
 const ADVICE: Millis = 2_000;
 
@@ -25,6 +29,37 @@
     customer: Customer,
     plan: Plan,
     seen: Millis,
+    /// What may be let in here until the others are heard of again, of what is left for all; and since when.
+    room: f64,
+    room_at: Millis,
+    /// Let in here since the others were heard of, and when that was.
+    unheard: u32,
+    heard: Millis,
+    /// Let in here and by the others, of late.
+    lately: (f64, f64),
+}
+
+impl Entry {
+    fn new(customer: Customer, plan: Plan, now: Millis) -> Entry {
+        let room = customer.left();
+        Entry { customer, plan, seen: now, room, room_at: now, unheard: 0, heard: now, lately: (0.0, 0.0) }
+    }
+
+    /// The part of all that is let in that is let in here: an even one at the least.
+    fn share(&self, gatekeepers: f64) -> f64 {
+        let (mine, all) = (self.lately.0, self.lately.0 + self.lately.1);
+        (if all > 0.0 { mine / all } else { 0.0 }).max(1.0 / gatekeepers)
+    }
+
+    /// Whether there is room here for one more. All see the same store: each may take its part of it until it hears
+    /// what the others took, and one request in any case.
+    fn has_room(&mut self, now: Millis, plan: &Plan, gatekeepers: f64) -> bool {
+        let share = self.share(gatekeepers);
+        let gain = plan.rate * share * (now - self.room_at) as f64 / 1e3;
+        self.room = (self.room + gain).min(plan.burst * share);
+        self.room_at = now;
+        self.room >= 1.0 || self.unheard == 0
+    }
 }
 
 /// All tenants as one gatekeeper counts them.
@@ -108,27 +143,37 @@
                 return Some(ADVICE);
             }
             let customer = Customer::new(&plan, &CustomerId(tenant.name.clone()), n, at, at);
-            self.table.insert(tenant.name.clone(), Entry { customer, plan: whole.clone(), seen: now });
+            self.table.insert(tenant.name.clone(), Entry::new(customer, whole.clone(), now));
         }
         let entry = self.table.get_mut(&tenant.name)?;
         (entry.plan, entry.seen) = (whole, now);
         entry.customer.advance(&plan, at, false);
-        let wait = entry.customer.beyond(&plan, 1.0, 0.0, at, self.rng.f64());
+        let mut wait = entry.customer.beyond(&plan, 1.0, 0.0, at, self.rng.f64());
+        if wait.is_none() && !entry.has_room(now, &plan, n) {
+            wait = Some(ROOM * 1_000);
+        }
         if wait.is_none() {
             entry.customer.take(1.0);
+            entry.room -= 1.0;
+            entry.unheard += 1;
+            entry.lately.0 += 1.0;
         }
         wait.map(|wait| (wait / 1_000).clamp(1, ADVICE))
     }
 
     /// What the others have let in since the last word; what is not named is as it was.
     pub fn hear(&mut self, now: Millis, news: &[(String, u64)]) {
-        let (part, at) = (self.part(), micros(now));
+        let (n, part, at) = (self.sharing(), self.part(), micros(now));
         let news: HashMap<&str, u64> = news.iter().map(|(name, n)| (name.as_str(), *n)).collect();
         for (name, entry) in &mut self.table {
             let others = news.get(name.as_str()).copied().unwrap_or(0) as f64;
             let plan = scaled(&entry.plan, part);
             entry.customer.advance(&plan, at, false);
             entry.customer.hear(&plan, others, true, -DEEPEST * plan.burst, at);
+            let keeps = (-(now.saturating_sub(entry.heard) as f64) / LATELY).exp();
+            entry.lately = (entry.lately.0 * keeps, entry.lately.1 * keeps + others);
+            entry.room = entry.customer.left().max(0.0) * entry.share(n);
+            (entry.room_at, entry.heard, entry.unheard) = (now, now, 0);
         }
     }
 
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -54,6 +54,11 @@
 }
 
 impl Customer {
+    /// Units that are left in the store, as far as known.
+    pub fn left(&self) -> f64 {
+        self.level
+    }
+
     /// Counts units that are used here, where nothing else counts them.
     pub fn take(&mut self, units: f64) {
         self.level -= units;
