Tell that nothing was added, notice cuts sooner, grant nothing anew at a change of home

Causes: totals were only told when they changed, so that where nobody let anything in all went on counting the others by forecast; a gatekeeper that lost its home or found one began with a full store; missing ones were missed after 1.7 s. Change: totals are told for three seconds after the last add; stores begin at 0.15; sessions stand by 0.15 s pings and are missed after 0.6 + 0.4 s. Ruled out: the store's floor, and the part of it that is taken between two totals.

--- a/crates/crossbar/src/control.rs
+++ b/crates/crossbar/src/control.rs
@@ -10,8 +10,8 @@
 
 /// Sessions at once.
 pub const SESSIONS: usize = 3;
-/// A home that says nothing for so long may be cut off: it answers three times as often.
-const TOUCH: Millis = 800;
+/// A home that says nothing for so long may be cut off: it answers four times as often.
+const TOUCH: Millis = 600;
 /// Adds that are not yet counted are merged beyond so many batches.
 const UNCOUNTED_MAX: usize = 64;
 
--- a/crates/crossbar/src/run.rs
+++ b/crates/crossbar/src/run.rs
@@ -26,7 +26,7 @@
 /// How often what was let in is told, and sessions are looked after.
 const BATCH: Duration = Duration::from_millis(50);
 /// How often a session says that it stands.
-const PING: Duration = Duration::from_millis(250);
+const PING: Duration = Duration::from_millis(150);
 /// A marker that says nothing for so long is gone: it would have answered three times.
 const SILENCE: Duration = Duration::from_millis(1_800);
 /// How often idle connections and the settings file are looked at.
--- a/crates/crossbar/src/tenants.rs
+++ b/crates/crossbar/src/tenants.rs
@@ -16,6 +16,8 @@
 const OPEN: (f64, f64) = (3.0, 20.0);
 /// How far a store may be overdrawn by what was let in unseen, in bursts: it is made up for before more is let in.
 const DEEPEST: f64 = 3.0;
+/// Part of the store that is taken to be left where what was let in just before is not known.
+const FRESH: f64 = 0.15;
 /// Least burst, in seconds of the rate, and in requests.
 const BURST: (f64, f64) = (0.2, 1.0);
 /// Time, ms, after which what was let in counts a third in the parts of all.
@@ -35,6 +37,8 @@
     /// Let in here since the others were heard of, and when that was.
     unheard: u32,
     heard: Millis,
+    /// Whether the others were not heard of yet since it began anew.
+    fresh: bool,
     /// Let in here and by the others, of late.
     lately: (f64, f64),
 }
@@ -42,7 +46,17 @@
 impl Entry {
     fn new(customer: Customer, plan: Plan, now: Millis) -> Entry {
         let room = customer.left();
-        Entry { customer, plan, seen: now, room, room_at: now, unheard: 0, heard: now, lately: (0.0, 0.0) }
+        Entry {
+            customer,
+            plan,
+            seen: now,
+            room,
+            room_at: now,
+            unheard: 0,
+            heard: now,
+            fresh: false,
+            lately: (0.0, 0.0),
+        }
     }
 
     /// The part of all that is let in that is let in here: an even one at the least.
@@ -99,6 +113,9 @@
                 let open = entry.customer.open;
                 entry.customer = Customer::new(&plan, &CustomerId(name.clone()), n, micros(now), micros(now));
                 entry.customer.open = open;
+                // What was let in just before is not known any more: most of the store is taken as spent.
+                entry.customer.drain_to(plan.burst * FRESH);
+                (entry.room, entry.fresh) = (entry.customer.left(), true);
             }
         }
         if now > self.swept + IDLE / 16 {
@@ -170,6 +187,9 @@
             let plan = scaled(&entry.plan, part);
             entry.customer.advance(&plan, at, false);
             entry.customer.hear(&plan, others, true, -DEEPEST * plan.burst, at);
+            if std::mem::take(&mut entry.fresh) {
+                entry.customer.drain_to(plan.burst * FRESH);
+            }
             let keeps = (-(now.saturating_sub(entry.heard) as f64) / LATELY).exp();
             entry.lately = (entry.lately.0 * keeps, entry.lately.1 * keeps + others);
             entry.room = entry.customer.left().max(0.0) * entry.share(n);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -59,6 +59,11 @@
         self.level
     }
 
+    /// Takes no more than this to be left in the store.
+    pub fn drain_to(&mut self, most: f64) {
+        self.level = self.level.min(most);
+    }
+
     /// Counts units that are used here, where nothing else counts them.
     pub fn take(&mut self, units: f64) {
         self.level -= units;
--- a/crates/marker/src/core.rs
+++ b/crates/marker/src/core.rs
@@ -43,7 +43,7 @@
 /// A primary whose own disk takes longer hands over.
 const DISK: Millis = 900;
 /// A primary that hears no majority for so long is none.
-const ALONE: Millis = 1_500;
+const ALONE: Millis = 600;
 /// A member of the core that is silent for so long gives its place to one that waits outside.
 const LOST: Millis = 2_500;
 /// An operator's call that can't be made certain in this time is answered so; callers wait a second.
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -9,8 +9,8 @@
 
 /// How long something may wait until all know it; servers wait a second for their answer.
 const KNOWN: Millis = 550;
-/// A session that says nothing for so long is not heard: it says that it stands three times as often.
-const HEARD: Millis = 800;
+/// A session that says nothing for so long is not heard: it says that it stands four times as often.
+const HEARD: Millis = 600;
 /// Sessions at once.
 pub const SESSIONS_MAX: usize = 2_000;
 
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -16,10 +16,10 @@
 /// See [`TOTALS`].
 const ALIVE: Millis = 700;
 /// How often markers tell each other their sessions.
-const SESSIONS: Millis = 250;
+const SESSIONS: Millis = 125;
 /// A gatekeeper that no marker has heard for the first is missed, and until the second it is counted all the same: it
 /// may be cut off, and goes on letting in its part.
-const MISSED: (Millis, Millis) = (600, 15_000);
+const MISSED: (Millis, Millis) = (400, 15_000);
 /// How often the servers are put on disk, where they have changed.
 const SERVERS: Millis = 400;
 
@@ -302,7 +302,7 @@
             if !batch.is_empty() {
                 out.extend(peers.iter().map(|ip| Output::Send(*ip, Between::Adds(batch.clone()))));
             }
-            let news = self.tally.news().into_iter();
+            let news = self.tally.news(now).into_iter();
             out.extend(news.map(|(id, number, totals)| Output::Tell(id, Down::Totals(number, totals))));
         }
         if now >= self.alive_at + ALIVE {
--- a/crates/marker/src/tally.rs
+++ b/crates/marker/src/tally.rs
@@ -4,12 +4,17 @@
 //! last looked, and holds that against its own clock: no clock is shared, and a marker that starts again begins at 0
 //! without harm.
 
+use crate::core::Millis;
 use crate::parts::SessionId;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Tenants that are counted at once.
 const TENANTS_MAX: usize = 100_000;
 
+/// For how long after something was added it is told that nothing was since, and how often.
+const LATELY: Millis = 3_000;
+const AGAIN: Millis = 100;
+
 #[derive(Default)]
 struct Told {
     life: u64,
@@ -19,6 +24,7 @@
     /// Whether something changed that it has to know.
     changed: BTreeSet<String>,
     new_number: bool,
+    sent: Millis,
 }
 
 /// Totals of all tenants.
@@ -28,6 +34,9 @@
     homes: BTreeMap<SessionId, Told>,
     /// What came from sessions here since the other markers were told.
     batch: BTreeMap<String, u64>,
+    /// Whether anything was added since the totals were last told, and when anything was.
+    added: bool,
+    added_at: Millis,
 }
 
 impl Tally {
@@ -66,6 +75,7 @@
 
     /// Adds that another marker has taken in.
     pub fn count(&mut self, adds: &[(String, u64)]) {
+        self.added |= !adds.is_empty();
         for (tenant, n) in adds {
             if self.totals.len() >= TENANTS_MAX && !self.totals.contains_key(tenant) {
                 continue;
@@ -83,11 +93,17 @@
     }
 
     /// What each gatekeeper has to be told: the number of its newest adds, and tenants with total and own part.
-    pub fn news(&mut self) -> Vec<(SessionId, u64, Vec<(String, u64, u64)>)> {
-        let totals = &self.totals;
-        let due = self.homes.iter_mut().filter(|(_, told)| told.new_number || !told.changed.is_empty());
+    /// For a time after something was added also that nothing was since: those who wait for room must know.
+    pub fn news(&mut self, now: Millis) -> Vec<(SessionId, u64, Vec<(String, u64, u64)>)> {
+        if std::mem::take(&mut self.added) {
+            self.added_at = now;
+        }
+        let (totals, quiet) = (&self.totals, now >= self.added_at + LATELY);
+        let due = self.homes.iter_mut().filter(|(_, told)| {
+            told.new_number || !told.changed.is_empty() || !(quiet || now < told.sent + AGAIN)
+        });
         due.map(|(session, told)| {
-            told.new_number = false;
+            (told.new_number, told.sent) = (false, now);
             let changed = std::mem::take(&mut told.changed).into_iter();
             let news = changed.map(|tenant| {
                 let (total, own) = (totals.get(&tenant), told.own.get(&tenant));
@@ -120,10 +136,12 @@
         here.on_adds(9, 1, &adds(100));
         there.count(&here.batch());
         expect_that!(
-            here.news(),
+            here.news(50),
             eq(&vec![(1, 1, vec![("t".into(), 7, 5)]), (2, 1, vec![("t".into(), 7, 2)])])
         );
-        expect_that!(there.news(), eq(&vec![(1, 0, vec![("t".into(), 7, 0)])]));
-        expect_true!(here.news().is_empty() && here.batch().is_empty());
+        expect_that!(there.news(50), eq(&vec![(1, 0, vec![("t".into(), 7, 0)])]));
+        expect_true!(here.news(60).is_empty() && here.batch().is_empty());
+        expect_that!(here.news(150), eq(&vec![(1, 1, vec![]), (2, 1, vec![])]));
+        expect_true!(here.news(4_000).is_empty());
     }
 }
