Keep requests and the system's own talk in their zones

Causes: two thirds of the requests went to servers of other zones; pings, names of gatekeepers and adds were told more often than anything needs; beats went anywhere. Change: servers of the own zone are drawn eight times as often, while they are not expected to be 1.3 times slower; sessions that are no home ping every 0.55 s; markers tell names when they change, adds every 125 ms; beats are asked to their own zone.

--- a/crates/crossbar/src/run.rs
+++ b/crates/crossbar/src/run.rs
@@ -27,6 +27,8 @@
 const BATCH: Duration = Duration::from_millis(50);
 /// How often a session says that it stands.
 const PING: Duration = Duration::from_millis(150);
+/// The same for one that is not the home.
+const PING_OTHER: Duration = Duration::from_millis(550);
 /// A marker that says nothing for so long is gone: it would have answered three times.
 const SILENCE: Duration = Duration::from_millis(1_800);
 /// How often idle connections and the settings file are looked at.
@@ -120,9 +122,14 @@
         let lines = self.clone();
         let carried = line::carry(stream, sender.clone(), SILENCE, move |word| lines.take(ip, word));
         let pings = async {
+            let mut said = Instant::now();
             loop {
                 tokio::time::sleep(PING).await;
-                sender.send(&Word::Up(Up::Ping));
+                let home = self.front.gate.borrow().control.home() == Some(ip);
+                if home || said.elapsed() >= PING_OTHER {
+                    said = Instant::now();
+                    sender.send(&Word::Up(Up::Ping));
+                }
             }
         };
         let ended = tokio::select! {
--- a/crates/crossbar/src/servers.rs
+++ b/crates/crossbar/src/servers.rs
@@ -9,7 +9,7 @@
 use trunk::words::{Instance, State};
 
 /// How much better a server of another zone must look.
-const CROSS_ZONE: f64 = 1.15;
+const CROSS_ZONE: f64 = 1.3;
 /// Weight of a new answer in what is known of a server, and in what is known of its service.
 const LEARN: (f64, f64) = (0.15, 0.03);
 /// A server that fails is left alone for so long at first; doubled with each further failure, so often at most.
@@ -156,7 +156,7 @@
             if well.len() * 2 >= ready.len() { well } else { ready.iter().collect() };
         let fit: Vec<_> = all.into_iter().filter(|(_, s)| has_room(s)).collect();
         let weight = |s: &Server| {
-            let zone = if s.told.zone == self.zone { 1.0 } else { 1.0 / CROSS_ZONE };
+            let zone = if s.told.zone == self.zone { 1.0 } else { 0.12 };
             zone * f64::from(s.told.slots) / s.slow.max(0.05)
         };
         let sum: f64 = fit.iter().map(|(_, s)| weight(s)).sum();
--- a/crates/marker/src/calls.rs
+++ b/crates/marker/src/calls.rs
@@ -113,6 +113,10 @@
     let (status, body) = match &reply {
         Reply::Json(text) => (200, Bytes::copy_from_slice(text.as_bytes())),
         Reply::Document(document) => (200, Bytes::copy_from_slice(&document.bytes)),
+        Reply::Beats(ip) => {
+            let body = serde_json::json!({"heartbeat-address": format!("{ip}:{}", control.port())});
+            (200, Bytes::from(body.to_string()))
+        }
         Reply::Elsewhere(_) => (Kind::Elsewhere.status(), Bytes::new()),
         Reply::Fault(kind, text) => {
             let row = kind.row();
--- a/crates/marker/src/parts.rs
+++ b/crates/marker/src/parts.rs
@@ -27,6 +27,8 @@
     Json(String),
     /// The configuration, as it was sent.
     Document(Arc<Document>),
+    /// A beat is taken in; later ones go to this marker.
+    Beats(Ipv4Addr),
     /// Another marker answers it.
     Elsewhere(Ipv4Addr),
     /// It is not done.
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -102,11 +102,11 @@
         }
     }
 
-    /// Lives and names of the gatekeepers with these lives that are heard.
-    pub fn names(&self, now: Millis, lives: &[u64]) -> Vec<(u64, String)> {
+    /// Names of the gatekeepers with these lives that are heard.
+    pub fn names(&self, now: Millis, lives: &[u64]) -> Vec<String> {
         let heard = self.sessions.values().filter(|s| now < s.heard + HEARD);
         let meant = heard.filter(|s| lives.contains(&s.life));
-        meant.map(|s| (s.life, s.name.clone())).collect()
+        meant.map(|s| s.name.clone()).collect()
     }
 
     /// How many of all sessions have this configuration in force.
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -17,6 +17,10 @@
 const ALIVE: Millis = 700;
 /// How often markers tell each other their sessions.
 const SESSIONS: Millis = 125;
+/// How often they do where nothing changed.
+const HERE: Millis = 1_000;
+/// How often markers tell each other what was let in: bytes between zones.
+const ADDS: Millis = 125;
 /// A gatekeeper that no marker has heard for the first is missed, and until the second it is counted all the same: it
 /// may be cut off, and goes on letting in its part.
 const MISSED: (Millis, Millis) = (400, 15_000);
@@ -28,6 +32,14 @@
 struct Peer {
     /// Whether it was sent all servers since the connection came up.
     greeted: bool,
+    heard: Millis,
+    zone: String,
+}
+
+/// A gatekeeper whose session stands, or stood lately.
+struct Member {
+    home: Ipv4Addr,
+    at: Millis,
 }
 
 /// One marker.
@@ -38,10 +50,13 @@
     sessions: Sessions,
     tally: Tally,
     peers: BTreeMap<Ipv4Addr, Peer>,
-    /// Gatekeepers that were members lately, by name: when last, and the life.
-    members: BTreeMap<String, (Millis, u64)>,
+    /// Gatekeepers that were members lately, by name.
+    members: BTreeMap<String, Member>,
     told_members: (u32, u32),
     told_markers: Vec<Ipv4Addr>,
+    told_here: Vec<String>,
+    here_at: Millis,
+    adds_at: Millis,
     totals_at: Millis,
     alive_at: Millis,
     sessions_at: Millis,
@@ -92,6 +107,9 @@
             members: BTreeMap::new(),
             told_members: (1, 0),
             told_markers: Vec::new(),
+            told_here: Vec::new(),
+            here_at: 0,
+            adds_at: 0,
             totals_at: 0,
             alive_at: 0,
             sessions_at: 0,
@@ -127,13 +145,15 @@
                 Err((kind, text)) => out.push(Output::Answer(id, Reply::Fault(kind, text))),
                 Ok(instance) => {
                     let leaves = instance.state != State::Ready;
+                    // Beats stay in the server's zone where a marker is there.
+                    let reply = self.marker_of(&instance.zone).map_or(Reply::done(), Reply::Beats);
                     let changed = self.registry.on_beat(now, instance);
-                    self.spread(now, id, leaves, changed, out);
+                    self.spread(now, id, leaves, changed, reply, out);
                 }
             },
             Call::Leave { id: life } => {
                 let changed = self.registry.on_leave(now, &life);
-                self.spread(now, id, true, changed, out);
+                self.spread(now, id, true, changed, Reply::done(), out);
             }
             Call::Replace { body } => match configuration::parse(&body) {
                 Err(faults) => {
@@ -151,7 +171,15 @@
     }
 
     /// Tells all what has changed of servers. A server that leaves is answered once all know.
-    fn spread(&mut self, now: Millis, id: u64, leaves: bool, changed: Vec<Instance>, out: &mut Vec<Output>) {
+    fn spread(
+        &mut self,
+        now: Millis,
+        id: u64,
+        leaves: bool,
+        changed: Vec<Instance>,
+        reply: Reply,
+        out: &mut Vec<Output>,
+    ) {
         if !changed.is_empty() {
             self.tell_servers(changed.clone(), out);
         }
@@ -161,7 +189,7 @@
             let again: &[Ipv4Addr] = if changed.is_empty() { &[] } else { &live };
             self.sessions.wait(now, Waiter::Call(id), again)
         } else {
-            out.push(Output::Answer(id, Reply::done()));
+            out.push(Output::Answer(id, reply));
             0
         };
         if !changed.is_empty() {
@@ -178,6 +206,7 @@
 
     /// Another marker says something.
     pub fn on_word(&mut self, now: Millis, from: Node, word: Between, out: &mut Vec<Output>) {
+        self.peers.entry(from.ip).or_default().heard = now;
         match word {
             Between::Servers(ticket, servers) => {
                 let changed: Vec<Instance> =
@@ -196,8 +225,9 @@
                     self.tell_servers(changed, out);
                 }
             }
-            Between::Sessions(members) => {
-                self.members.extend(members.into_iter().map(|(life, name)| (name, (now, life))));
+            Between::Sessions(zone, names) => {
+                self.peers.entry(from.ip).or_default().zone = zone;
+                self.take_members(now, from.ip, names);
             }
             Between::Left(name) => drop(self.members.remove(&name)),
             Between::Adds(adds) => self.tally.count(&adds),
@@ -298,8 +328,10 @@
         let peers: Vec<Ipv4Addr> = self.core.live();
         if now >= self.totals_at + TOTALS {
             self.totals_at = now;
-            let batch = self.tally.batch();
+            let due = now >= self.adds_at + ADDS;
+            let batch = if due { self.tally.batch() } else { Vec::new() };
             if !batch.is_empty() {
+                self.adds_at = now;
                 out.extend(peers.iter().map(|ip| Output::Send(*ip, Between::Adds(batch.clone()))));
             }
             let news = self.tally.news(now).into_iter();
@@ -319,10 +351,19 @@
         if now >= self.sessions_at + SESSIONS {
             self.sessions_at = now;
             let here = self.sessions.names(now, &self.tally.lives());
-            out.extend(peers.iter().map(|ip| Output::Send(*ip, Between::Sessions(here.clone()))));
-            self.members.extend(here.into_iter().map(|(life, name)| (name, (now, life))));
-            self.members.retain(|_, (at, _)| now < *at + MISSED.1);
-            let missed = self.members.values().filter(|(at, _)| now >= *at + MISSED.0).count() as u32;
+            self.take_members(now, self.core.me().ip, here.clone());
+            if here != self.told_here || now >= self.here_at + HERE {
+                (self.told_here, self.here_at) = (here.clone(), now);
+                let word = Between::Sessions(self.zone.clone(), here);
+                out.extend(peers.iter().map(|ip| Output::Send(*ip, word.clone())));
+            }
+            // A marker that is heard would have said that one of its gatekeepers is not.
+            for member in self.members.values_mut() {
+                let heard = self.peers.get(&member.home).map_or(0, |peer| peer.heard);
+                member.at = member.at.max(if heard + MISSED.0 > now { now.min(heard) } else { 0 });
+            }
+            self.members.retain(|_, member| now < member.at + MISSED.1);
+            let missed = self.members.values().filter(|member| now >= member.at + MISSED.0).count() as u32;
             let members = ((self.members.len() as u32).max(1), missed);
             if members != self.told_members {
                 self.told_members = members;
@@ -337,6 +378,25 @@
         self.after(now, out);
     }
 
+    /// A marker names all gatekeepers whose home it is: others whose home it was are heard no more.
+    fn take_members(&mut self, now: Millis, home: Ipv4Addr, names: Vec<String>) {
+        let nobody = Ipv4Addr::UNSPECIFIED;
+        for (name, member) in self.members.iter_mut().filter(|(_, member)| member.home == home) {
+            if !names.contains(name) {
+                member.home = nobody;
+            }
+        }
+        self.members.extend(names.into_iter().map(|name| (name, Member { home, at: now })));
+    }
+
+    /// A marker of a zone that is heard, where it is another than this one's.
+    fn marker_of(&self, zone: &str) -> Option<Ipv4Addr> {
+        let live = self.core.live();
+        let of = |(ip, peer): &(&Ipv4Addr, &Peer)| peer.zone == zone && live.contains(ip);
+        let mut peers = self.peers.iter().filter(|_| zone != self.zone);
+        peers.find(of).map(|(ip, _)| *ip)
+    }
+
     fn markers(&self) -> Vec<Ipv4Addr> {
         let mut markers = self.core.live();
         markers.push(self.core.me().ip);
--- a/crates/trunk/src/words.rs
+++ b/crates/trunk/src/words.rs
@@ -167,8 +167,9 @@
     Told(u64),
     /// Servers that have beaten here, with their sequence numbers.
     Alive(Vec<(String, u64)>),
-    /// The gatekeepers whose home the sender is: lives and names.
-    Sessions(Vec<(u64, String)>),
+    /// The gatekeepers whose home the sender is, by name, and its zone: when they change, and now and then. They stand
+    /// as long as the sender is heard.
+    Sessions(String, Vec<String>),
     /// The process of a gatekeeper has ended: its name.
     Left(String),
     /// Requests let in, by tenant, since the last time.
