Begin the work on pipelined requests when they are seen

Cause: the HTTP library comes to a connection's next request once the one before is answered; each waited for all before it. Change: heads without a body are read with httparse as their bytes pass, and their work begins; the library still frames requests and writes answers in their order. On a connection where anything else was seen nothing is looked at any more.

--- a/crates/crossbar/src/clients.rs
+++ b/crates/crossbar/src/clients.rs
@@ -1,7 +1,12 @@
 //! Clients' connections: how many, and for how long each may be idle or take for a head.
 
+use crate::ahead::{is_same, Ahead};
+use crate::front::Out;
+use hyper::http::request::Parts;
+use hyper::Response;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -10,6 +15,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+/// Requests of a connection whose work may begin before they are due.
+const EARLY_MAX: usize = 8;
 
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,9 +31,25 @@
     Busy,
 }
 
+/// The work on a request that the client sent before the one before it was answered.
+struct Early {
+    number: u64,
+    parts: Parts,
+    work: JoinHandle<Response<Out>>,
+}
+
+impl Drop for Early {
+    fn drop(&mut self) {
+        self.work.abort();
+    }
+}
+
 /// One client's connection from outside.
 pub struct Watch {
     phase: Cell<Phase>,
+    /// Requests that the HTTP library has come to.
+    served: Cell<u64>,
+    early: RefCell<VecDeque<Early>>,
     /// Told to close once nothing is under way.
     pub ends: Notify,
     ending: Cell<bool>,
@@ -34,9 +59,37 @@
     /// A request is read; it is answered when what this gives is dropped.
     pub fn begin(self: &Rc<Self>) -> Busy {
         self.phase.set(Phase::Busy);
+        self.served.set(self.served.get() + 1);
         Busy(self.clone())
     }
 
+    /// The work on the request that has just begun, if it was seen before.
+    pub fn early(&self, parts: &Parts) -> Option<impl Future<Output = Option<Response<Out>>>> {
+        let number = self.served.get().checked_sub(1)?;
+        let mut all = self.early.borrow_mut();
+        while all.front().is_some_and(|early| early.number < number) {
+            all.pop_front();
+        }
+        let same = all.front().is_some_and(|early| early.number == number && is_same(&early.parts, parts));
+        let early = if same { all.pop_front() } else { None }?;
+        Some(async move {
+            let mut early = early;
+            (&mut early.work).await.ok()
+        })
+    }
+
+    /// Bytes have come; what is behind a request under way is begun.
+    fn look(&self, ahead: &mut Ahead, bytes: &[u8], begin: &dyn Fn(&Parts) -> JoinHandle<Response<Out>>) {
+        for (number, parts) in ahead.feed(bytes) {
+            let next = number == self.served.get() && self.phase.get() != Phase::Busy;
+            let mut early = self.early.borrow_mut();
+            if !next && number >= self.served.get() && early.len() < EARLY_MAX {
+                let work = begin(&parts);
+                early.push_back(Early { number, parts, work });
+            }
+        }
+    }
+
     fn end(&self) {
         if !self.ending.replace(true) {
             self.ends.notify_one();
@@ -93,7 +146,8 @@
         let number = self.next.get();
         self.next.set(number + 1);
         let phase = Cell::new(Phase::Idle(Instant::now()));
-        let watch = Rc::new(Watch { phase, ends: Notify::new(), ending: Cell::new(false) });
+        let (served, early) = (Cell::new(0), RefCell::default());
+        let watch = Rc::new(Watch { phase, served, early, ends: Notify::new(), ending: Cell::new(false) });
         all.insert(number, watch.clone());
         Some(Seat { clients: self.clone(), number, watch })
     }
@@ -128,14 +182,23 @@
     pub stream: TcpStream,
     /// Who is told.
     pub watch: Rc<Watch>,
+    /// What is seen of requests to come.
+    pub ahead: Ahead,
+    /// Begins the work on one.
+    pub begin: Box<dyn Fn(&Parts) -> JoinHandle<Response<Out>>>,
 }
 
 impl AsyncRead for Watched {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before && matches!(self.watch.phase.get(), Phase::Idle(_)) {
-            self.watch.phase.set(Phase::Head(Instant::now()));
+        let this = &mut *self;
+        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
+        let news = &buf.filled()[before..];
+        if !news.is_empty() {
+            if matches!(this.watch.phase.get(), Phase::Idle(_)) {
+                this.watch.phase.set(Phase::Head(Instant::now()));
+            }
+            this.watch.look(&mut this.ahead, news, &this.begin);
         }
         polled
     }
--- a/crates/crossbar/src/front.rs
+++ b/crates/crossbar/src/front.rs
@@ -134,18 +134,17 @@
         self.begun.elapsed().as_millis() as Millis
     }
 
-    /// Answers one request.
-    pub async fn answer(&self, request: Request<Incoming>) -> Response<Out> {
+    /// Answers one request; without a body where it has none.
+    pub async fn answer(&self, parts: &Parts, body: Option<Incoming>) -> Response<Out> {
         let _open = Counted::up(&self.open, 1);
-        let (parts, body) = request.into_parts();
-        let mut response = self.handle(&parts, body).await;
+        let mut response = self.handle(parts, body).await;
         if self.gate.borrow().leaving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
 
-    async fn handle(&self, parts: &Parts, body: Incoming) -> Response<Out> {
+    async fn handle(&self, parts: &Parts, body: Option<Incoming>) -> Response<Out> {
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
         let Some(host) = host.or(parts.uri.host()) else { return self.refuse(Kind::Malformed, None) };
         self.wait_for_configuration(&parts.headers).await;
@@ -156,9 +155,12 @@
         };
         let _tenant = TenantOpen::begin(self, &pass);
         let limit = usize::try_from(pass.configuration.limits.body).unwrap_or(usize::MAX);
-        let body = match self.collect(body, limit.min(self.held_max)).await {
-            Ok(body) => body,
-            Err(kind) => return self.refuse(kind, Some(&pass)),
+        let body = match body {
+            None => Bytes::new(),
+            Some(body) => match self.collect(body, limit.min(self.held_max)).await {
+                Ok(body) => body,
+                Err(kind) => return self.refuse(kind, Some(&pass)),
+            },
         };
         let _held = Counted::up(&self.held, body.len());
         if self.held.get() > self.held_max {
--- a/crates/crossbar/src/lib.rs
+++ b/crates/crossbar/src/lib.rs
@@ -4,6 +4,7 @@
 //! markers push to it. [`gate`] joins what it holds and decides with; [`journey`] is one request's way; [`run`] joins
 //! them to sockets and signals.
 
+pub mod ahead;
 pub mod budget;
 pub mod clients;
 pub mod control;
--- a/crates/crossbar/src/run.rs
+++ b/crates/crossbar/src/run.rs
@@ -1,11 +1,13 @@
 //! What joins a gatekeeper's state machines to sockets and signals.
 
+use crate::ahead::Ahead;
 use crate::clients::{Clients, Seat, Watched};
 use crate::control::Control;
 use crate::dials::Dials;
 use crate::front::Front;
 use crate::gate::Gate;
 use granitelead_base::{set_user_timeout, Backoff, ACCEPT_PAUSE};
+use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -166,15 +168,29 @@
     set_user_timeout(&stream, UNACKNOWLEDGED, &Cell::new(1));
     let head = front.gate.borrow().configuration.as_ref().map_or(HEAD_LEAST, |c| c.limits.head);
     let (watch, taken) = (seat.watch.clone(), front.clone());
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
         let (front, busy) = (taken.clone(), watch.begin());
+        let (parts, body) = request.into_parts();
+        let early = watch.early(&parts);
         async move {
-            let response = front.answer(request).await;
+            let early = match early {
+                Some(early) => early.await,
+                None => None,
+            };
+            let response = match early {
+                Some(response) => response,
+                None => front.answer(&parts, Some(body)).await,
+            };
             drop(busy);
             Ok::<_, Infallible>(response)
         }
     });
-    let stream = Watched { stream, watch: seat.watch.clone() };
+    let taken = front.clone();
+    let begin = Box::new(move |parts: &Parts| {
+        let (front, parts) = (taken.clone(), parts.clone());
+        spawn_local(async move { front.answer(&parts, None).await })
+    });
+    let stream = Watched { stream, watch: seat.watch.clone(), ahead: Ahead::default(), begin };
     let connection = hyper::server::conn::http1::Builder::new()
         .max_buf_size(head.max(HEAD_LEAST))
         .serve_connection(TokioIo::new(stream), service);
