Count gatekeepers as the home does, give each an even half of the store, start a pair by one command

Cause: gatekeepers reach all markers then; each marker misses the others' gatekeepers, and whichever spoke last was believed, so that both sides took 7/11 (208 let in a second at a quota of 160). A marker that starts again knew nobody missed. Change: only the home's word counts; markers tell whom they miss, and say how many there are 1.2 s after their start; a store holds 0.6 of a burst. Also: whoever had most took all of the store; half of it is even now. Ruled out: totals that come late, stores at a change of home (the log of let in requests by gatekeeper shows neither). The laboratory starts marker, gatekeeper and a stand-in server with one command.

--- a/crates/crossbar/src/clients.rs
+++ b/crates/crossbar/src/clients.rs
@@ -176,6 +176,9 @@
     }
 }
 
+/// Begins the work on a request.
+pub type Begin = Box<dyn Fn(&Parts) -> JoinHandle<Response<Out>>>;
+
 /// A client's socket, which tells when something comes.
 pub struct Watched {
     /// The socket.
@@ -185,7 +188,7 @@
     /// What is seen of requests to come.
     pub ahead: Ahead,
     /// Begins the work on one.
-    pub begin: Box<dyn Fn(&Parts) -> JoinHandle<Response<Out>>>,
+    pub begin: Begin,
 }
 
 impl AsyncRead for Watched {
--- a/crates/crossbar/src/control.rs
+++ b/crates/crossbar/src/control.rs
@@ -37,6 +37,8 @@
     /// What the others had let in by the newest totals, once there were some.
     others: Option<BTreeMap<String, u64>>,
     heard: Millis,
+    /// How many gatekeepers there are by this marker, and how many of them are missed.
+    members: Option<(u32, u32)>,
 }
 
 /// All sessions of a gatekeeper.
@@ -89,6 +91,11 @@
         home.is_some_and(|s| s.others.is_some() && now < s.heard + TOUCH)
     }
 
+    /// How many gatekeepers there are by the home, and how many of them are missed, where it has told.
+    pub fn members(&self) -> Option<(u32, u32)> {
+        self.home.and_then(|ip| self.sessions.get(&ip)?.members)
+    }
+
     /// The marker that counts what is let in here.
     pub fn home(&self) -> Option<Ipv4Addr> {
         self.home
@@ -160,7 +167,13 @@
                         self.told = markers.into_iter().collect();
                         None
                     }
-                    News::Gatekeepers(n, missed) => Some(Change::Gatekeepers(n, missed)),
+                    News::Gatekeepers(n, missed) => {
+                        if let Some(session) = self.sessions.get_mut(&ip) {
+                            session.members = Some((n, missed));
+                        }
+                        // Where markers are cut apart each counts the others' gatekeepers as missed.
+                        (self.home == Some(ip)).then_some(Change::Gatekeepers(n, missed))
+                    }
                     News::Whole(zone) => {
                         if let Some(session) = self.sessions.get_mut(&ip) {
                             session.zone = Some(zone);
--- a/crates/crossbar/src/dials.rs
+++ b/crates/crossbar/src/dials.rs
@@ -240,7 +240,7 @@
     let own = parts.headers.get(names::ATTEMPT).is_some_and(|value| value.as_bytes() == id);
     let turned_away = parts.headers.contains_key(names::NOT_EXECUTED);
     // Without the id of the request it may be the answer to another.
-    if !own && !(turned_away || status == 421) {
+    if !(own || turned_away || status == 421) {
         return None;
     }
     let sealed = parts.headers.contains_key(names::SEAL);
--- a/crates/crossbar/src/gate.rs
+++ b/crates/crossbar/src/gate.rs
@@ -184,6 +184,10 @@
 
     /// What is to be told of what was let in; and whether what the others let in is known.
     pub fn on_batch(&mut self, now: Millis) -> Option<(Ipv4Addr, Up)> {
+        if let Some((all, missed)) = self.control.members() {
+            self.budget.share(all);
+            self.tenants.share(all, missed);
+        }
         self.tenants.touch(now, self.control.in_touch(now));
         self.control.batch()
     }
--- a/crates/crossbar/src/lib.rs
+++ b/crates/crossbar/src/lib.rs
@@ -39,6 +39,11 @@
     if let Some(status) = plugboard::command::options("crossbar", HELP) {
         return status;
     }
+    start()
+}
+
+/// Runs a gatekeeper without looking at the command line; its exit status.
+pub fn start() -> ExitCode {
     let settings = match plugboard::command::begin("crossbar") {
         Ok(settings) => settings,
         Err(status) => return status,
--- a/crates/crossbar/src/tenants.rs
+++ b/crates/crossbar/src/tenants.rs
@@ -16,6 +16,9 @@
 const OPEN: (f64, f64) = (3.0, 20.0);
 /// How far a store may be overdrawn by what was let in unseen, in bursts: it is made up for before more is let in.
 const DEEPEST: f64 = 3.0;
+/// Part of a burst that the store holds: the rest is what may be let in unseen, as words of others are late, while a
+/// tenant begins to ask too much, a cut begins and a home is lost, all within the rule's window.
+const STORE: f64 = 0.6;
 /// Part of the store that is taken to be left where what was let in just before is not known.
 const FRESH: f64 = 0.15;
 /// Least burst, in seconds of the rate, and in requests.
@@ -59,10 +62,12 @@
         }
     }
 
-    /// The part of all that is let in that is let in here: an even one at the least.
+    /// The part of the store that may be taken here: half by what was let in here of all, half even, so that whoever
+    /// had much does not keep the others from having any.
     fn share(&self, gatekeepers: f64) -> f64 {
         let (mine, all) = (self.lately.0, self.lately.0 + self.lately.1);
-        (if all > 0.0 { mine / all } else { 0.0 }).max(1.0 / gatekeepers)
+        let even = 1.0 / gatekeepers;
+        (even + if all > 0.0 { mine / all } else { even }) / 2.0
     }
 
     /// Whether there is room here for one more. All see the same store: each may take its part of it until it hears
@@ -165,6 +170,7 @@
         let entry = self.table.get_mut(&tenant.name)?;
         (entry.plan, entry.seen) = (whole, now);
         entry.customer.advance(&plan, at, false);
+        entry.customer.drain_to(plan.burst * STORE);
         let mut wait = entry.customer.beyond(&plan, 1.0, 0.0, at, self.rng.f64());
         if wait.is_none() && !entry.has_room(now, &plan, n) {
             wait = Some(ROOM * 1_000);
--- a/crates/crossbar/tests/timelines.rs
+++ b/crates/crossbar/tests/timelines.rs
@@ -131,6 +131,9 @@
                 let ip = self.boards[n].ip;
                 (0..self.columns.len()).for_each(|g| self.hang_up(g, ip));
             }
+            (None, "power") => {
+                (self.boards[n].marker, self.boards[n].start) = (None, self.boards[n].start + 1)
+            }
             (None, "cut" | "join") => self.boards[n].cut = what == "cut",
             (Some(g), "up") => {
                 let (seeds, seed) = (self.seeds(), self.rng.u64(..));
@@ -305,7 +308,7 @@
                 let Some((_, event)) = self.events.pop_first() else { break };
                 self.handle(event);
             }
-            if self.now % 25 == 0 {
+            if self.now.is_multiple_of(25) {
                 (0..self.boards.len())
                     .for_each(|n| self.step(n, |marker, now, out| marker.on_tick(now, out)));
             }
@@ -313,7 +316,7 @@
                 if self.now % 50 == g as u64 % 50 {
                     self.tick(g);
                 }
-                if self.now % 5 == 0 {
+                if self.now.is_multiple_of(5) {
                     self.requests(g);
                 }
             }
@@ -537,3 +540,30 @@
     world.run(20_000);
     expect_that!(world.most(), le(allowed()));
 }
+
+#[gtest]
+fn a_quota_holds_while_a_marker_is_cut_from_the_others_but_not_from_gatekeepers() {
+    let mut world = World::new(3, 11);
+    (0..14).for_each(|n| world.act(n, "up"));
+    world.run(2_000);
+    world.load = 5.7;
+    world.run(8_000);
+    world.load = 45.0;
+    world.run(10_000);
+    world.act(1, "cut");
+    world.act(3 + 10, "cut");
+    world.run(10_500);
+    world.act(2, "power");
+    world.act(3 + 2, "power");
+    world.run(14_200);
+    world.act(2, "up");
+    world.act(3 + 2, "up");
+    world.run(16_000);
+    world.act(1, "join");
+    world.act(3 + 10, "join");
+    world.run(22_000);
+    expect_that!(world.most(), le(allowed()));
+    let steady = |from: u64| world.ran.iter().filter(|at| (from..from + 2_000).contains(*at)).count();
+    expect_that!(steady(12_000), le((RATE * 2.0 * 1.1) as usize));
+    expect_that!(steady(20_000), ge((RATE * 2.0 * 0.8) as usize));
+}
--- a/crates/lab/src/loopback/mod.rs
+++ b/crates/lab/src/loopback/mod.rs
@@ -12,6 +12,7 @@
 pub mod links;
 pub mod process;
 pub mod server;
+pub mod system;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use thiserror::Error;
--- a/crates/lab/src/loopback/process.rs
+++ b/crates/lab/src/loopback/process.rs
@@ -60,6 +60,8 @@
     match text[..] {
         ["gatekeeper"] => granitelead_gatekeeper::run(),
         ["list-service", ..] => granitelead_list_service::run_with(words[1..].iter().cloned()),
+        ["marker"] => marker::start(),
+        ["crossbar"] => crossbar::start(),
         ["double", name] => super::double::run(name),
         ["file", path, ..] => {
             let error = std::process::Command::new(path).args(&words[2..]).exec();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 use granitelead_lab::experiment::{Experiment, Mode};
 use granitelead_lab::loopback::demo::demo;
 use granitelead_lab::loopback::process::{be, WORD};
+use granitelead_lab::loopback::system::system;
 use granitelead_lab::play::{
     doubles, fleet, name_of, random, write_results, Failure, Options as FleetOptions,
 };
@@ -40,6 +41,18 @@
         #[arg(long)]
         seconds: Option<f64>,
     },
+    /// Starts the system on loopback, a marker and a gatekeeper, with a stand-in server behind them; until Ctrl-C.
+    System {
+        /// The first of the ports that are used, one after the other.
+        #[arg(long, default_value_t = 8042)]
+        port: u16,
+        /// Where settings and folders go.
+        #[arg(long, default_value = "target/system")]
+        out: PathBuf,
+        /// Ends after one request through it.
+        #[arg(long)]
+        once: bool,
+    },
     /// Is a process of a fleet's.
     #[command(name = WORD, hide = true)]
     AsChild {
@@ -141,6 +154,7 @@
         What::Demo { out, seconds } => {
             demo(&out, seconds).map(|report| println!("{}", report.display())).map_err(Failure::from)
         }
+        What::System { port, out, once } => system(port, &out, once).map_err(Failure::from),
         What::Run { files, out, seeds, jobs, json } => run(&files, &out, &seeds, jobs, json),
         What::Check { files } => check(&files),
         What::Compare { before, after, json } => compare(&before, &after, json),
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -33,6 +33,11 @@
     if let Some(status) = plugboard::command::options("marker", HELP) {
         return status;
     }
+    start()
+}
+
+/// Runs a marker without looking at the command line; its exit status.
+pub fn start() -> ExitCode {
     let settings = match plugboard::command::begin("marker") {
         Ok(settings) => settings,
         Err(status) => return status,
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -24,6 +24,8 @@
 /// A gatekeeper that no marker has heard for the first is missed, and until the second it is counted all the same: it
 /// may be cut off, and goes on letting in its part.
 const MISSED: (Millis, Millis) = (400, 15_000);
+/// A marker has heard of all gatekeepers this long after its start; only then it says how many there are.
+const KNOWS: Millis = 1_200;
 /// How often the servers are put on disk, where they have changed.
 const SERVERS: Millis = 400;
 
@@ -105,7 +107,7 @@
             tally: Tally::default(),
             peers: BTreeMap::new(),
             members: BTreeMap::new(),
-            told_members: (1, 0),
+            told_members: (0, 0),
             told_markers: Vec::new(),
             told_here: Vec::new(),
             here_at: 0,
@@ -225,7 +227,12 @@
                     self.tell_servers(changed, out);
                 }
             }
-            Between::Sessions(zone, names) => {
+            Between::Sessions(zone, names, missed) => {
+                // One that starts again learns whom the others miss; nobody's time begins anew.
+                for (name, age) in missed {
+                    let member = Member { home: Ipv4Addr::UNSPECIFIED, at: now.saturating_sub(age) };
+                    self.members.entry(name).or_insert(member);
+                }
                 self.peers.entry(from.ip).or_default().zone = zone;
                 self.take_members(now, from.ip, names);
             }
@@ -273,8 +280,10 @@
                     &self.zone,
                     out,
                 );
-                let (all, missed) = self.told_members;
-                self.sessions.tell(session, News::Gatekeepers(all, missed), out);
+                if now >= KNOWS {
+                    let (all, missed) = self.told_members;
+                    self.sessions.tell(session, News::Gatekeepers(all, missed), out);
+                }
             }
             Up::Ping => {
                 self.sessions.on_ping(now, session);
@@ -354,7 +363,9 @@
             self.take_members(now, self.core.me().ip, here.clone());
             if here != self.told_here || now >= self.here_at + HERE {
                 (self.told_here, self.here_at) = (here.clone(), now);
-                let word = Between::Sessions(self.zone.clone(), here);
+                let gone = self.members.iter().filter(|(_, member)| now >= member.at + MISSED.0);
+                let missed = gone.map(|(name, member)| (name.clone(), now - member.at)).collect();
+                let word = Between::Sessions(self.zone.clone(), here, missed);
                 out.extend(peers.iter().map(|ip| Output::Send(*ip, word.clone())));
             }
             // A marker that is heard would have said that one of its gatekeepers is not.
@@ -365,7 +376,7 @@
             self.members.retain(|_, member| now < member.at + MISSED.1);
             let missed = self.members.values().filter(|member| now >= member.at + MISSED.0).count() as u32;
             let members = ((self.members.len() as u32).max(1), missed);
-            if members != self.told_members {
+            if members != self.told_members && now >= KNOWS {
                 self.told_members = members;
                 self.sessions.tell_all(&News::Gatekeepers(members.0, members.1), out);
             }
--- a/crates/marker/src/tally.rs
+++ b/crates/marker/src/tally.rs
@@ -15,6 +15,9 @@
 const LATELY: Millis = 3_000;
 const AGAIN: Millis = 100;
 
+/// Tenants with their totals, and the part of whoever is told.
+pub type Totals = Vec<(String, u64, u64)>;
+
 #[derive(Default)]
 struct Told {
     life: u64,
@@ -94,7 +97,7 @@
 
     /// What each gatekeeper has to be told: the number of its newest adds, and tenants with total and own part.
     /// For a time after something was added also that nothing was since: those who wait for room must know.
-    pub fn news(&mut self, now: Millis) -> Vec<(SessionId, u64, Vec<(String, u64, u64)>)> {
+    pub fn news(&mut self, now: Millis) -> Vec<(SessionId, u64, Totals)> {
         if std::mem::take(&mut self.added) {
             self.added_at = now;
         }
--- a/crates/trunk/src/words.rs
+++ b/crates/trunk/src/words.rs
@@ -168,8 +168,8 @@
     /// Servers that have beaten here, with their sequence numbers.
     Alive(Vec<(String, u64)>),
     /// The gatekeepers whose home the sender is, by name, and its zone: when they change, and now and then. They stand
-    /// as long as the sender is heard.
-    Sessions(String, Vec<String>),
+    /// as long as the sender is heard. Then those that are missed, and for how long, ms.
+    Sessions(String, Vec<String>, Vec<(String, u64)>),
     /// The process of a gatekeeper has ended: its name.
     Left(String),
     /// Requests let in, by tenant, since the last time.
