Tell no adds that a cut-off gatekeeper's own part covered, and tell a new home at once

Symptom: when a home came back, all other gatekeepers' stores fell by 60 requests at once (log of stores in a timeline), and a tenant lost that much of its quota. Cause: what was let in without a home was told later, though the others had left that part to it already. Noticed with it: a session that opened in a quiet time was told no total, and would never have been in touch.

--- a/crates/crossbar/src/control.rs
+++ b/crates/crossbar/src/control.rs
@@ -216,7 +216,13 @@
     }
 
     /// What to tell the home of what was let in since the last time.
-    pub fn batch(&mut self) -> Option<(Ipv4Addr, Up)> {
+    pub fn batch(&mut self, now: Millis) -> Option<(Ipv4Addr, Up)> {
+        if !self.in_touch(now) {
+            // It was let in from the part that the others leave to whoever they miss.
+            self.let_in.clear();
+            self.uncounted.clear();
+            return None;
+        }
         let home = self.home?;
         if self.let_in.is_empty() {
             return None;
--- a/crates/crossbar/src/gate.rs
+++ b/crates/crossbar/src/gate.rs
@@ -189,7 +189,7 @@
             self.tenants.share(all, missed);
         }
         self.tenants.touch(now, self.control.in_touch(now));
-        self.control.batch()
+        self.control.batch(now)
     }
 
     /// One of a route's services, by weight.
--- a/crates/crossbar/tests/timelines.rs
+++ b/crates/crossbar/tests/timelines.rs
@@ -4,7 +4,7 @@
 //! markers; of a marker, from and to the others). Cells of what happens outside: `put 7` sends a configuration,
 //! `beat s1`, `drain s1`, `leave s1` are calls of a server at the first marker that is up, `load 40` lets 40 requests a
 //! second come to each gatekeeper. What must hold: `have 7` and `know 2` (servers that may get something new) at all
-//! gatekeepers that are up and not cut off, `answered s1` and `waits s1` of a server's last call.
+//! gatekeepers that are up and not cut off, `touch` that these hear their homes, `answered s1` and `waits s1` of a server's last call.
 
 use crossbar::control::Control;
 use crossbar::gate::Gate;
@@ -362,6 +362,11 @@
                     assert!(gate.is_ready());
                 }
             }
+            ["touch"] => {
+                for gate in self.columns.iter().filter(reached).filter_map(|c| c.gate.as_ref()) {
+                    assert!(gate.control.in_touch(self.now), "at {}", self.now);
+                }
+            }
             ["unready"] => {
                 assert!(self.columns.iter().filter_map(|c| c.gate.as_ref()).all(|g| !g.is_ready()))
             }
@@ -418,13 +423,15 @@
         "ms   | m1 | m2   | m3 | g1 | g2 | g3   | outside
          0    | up | up   | up | up | up |      |
          1000 |    |      |    |    |    |      | unready
+         1000 |    |      |    |    |    |      | touch
          1000 |    |      |    |    |    |      | put 1
          1100 |    |      |    |    |    |      | have 1
          1100 |    | kill |    |    |    | up   |
          1500 |    |      |    |    |    |      | have 1
          1500 |    |      |    |    |    | kill | put 2
          3500 |    |      |    |    |    | up   |
-         4000 |    |      |    |    |    |      | have 2",
+         4000 |    |      |    |    |    |      | have 2
+         4000 |    |      |    |    |    |      | touch",
     );
 }
 
--- a/crates/marker/src/tally.rs
+++ b/crates/marker/src/tally.rs
@@ -45,7 +45,9 @@
 impl Tally {
     /// A gatekeeper makes this marker its home.
     pub fn open(&mut self, session: SessionId, life: u64) {
-        let told = Told { life, changed: self.totals.keys().cloned().collect(), ..Told::default() };
+        // It is told at once, also that there is nothing: until then it knows nothing of the others.
+        let changed = self.totals.keys().cloned().collect();
+        let told = Told { life, changed, new_number: true, ..Told::default() };
         self.homes.insert(session, told);
     }
 
