Begin early only what may run more than once; mend the house's imports

Cause: work that is seen ahead was begun for every route; a request of a route whose requests may run once must not be begun before the library has framed it. The window of a plan's counts stood where it made a circle of imports (tests/house.rs).

--- a/crates/crossbar/src/clients.rs
+++ b/crates/crossbar/src/clients.rs
@@ -79,13 +79,14 @@
     }
 
     /// Bytes have come; what is behind a request under way is begun.
-    fn look(&self, ahead: &mut Ahead, bytes: &[u8], begin: &dyn Fn(&Parts) -> JoinHandle<Response<Out>>) {
+    fn look(&self, ahead: &mut Ahead, bytes: &[u8], begin: &Begin) {
         for (number, parts) in ahead.feed(bytes) {
             let next = number == self.served.get() && self.phase.get() != Phase::Busy;
             let mut early = self.early.borrow_mut();
             if !next && number >= self.served.get() && early.len() < EARLY_MAX {
-                let work = begin(&parts);
-                early.push_back(Early { number, parts, work });
+                if let Some(work) = begin(&parts) {
+                    early.push_back(Early { number, parts, work });
+                }
             }
         }
     }
@@ -176,8 +177,8 @@
     }
 }
 
-/// Begins the work on a request.
-pub type Begin = Box<dyn Fn(&Parts) -> JoinHandle<Response<Out>>>;
+/// Begins the work on a request, if that may be done early.
+pub type Begin = Box<dyn Fn(&Parts) -> Option<JoinHandle<Response<Out>>>>;
 
 /// A client's socket, which tells when something comes.
 pub struct Watched {
--- a/crates/crossbar/src/front.rs
+++ b/crates/crossbar/src/front.rs
@@ -134,6 +134,14 @@
         self.begun.elapsed().as_millis() as Millis
     }
 
+    /// Whether a request is of a route whose requests may run more than once: only these are begun early.
+    pub fn may_repeat(&self, parts: &Parts) -> bool {
+        let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let gate = self.gate.borrow();
+        let route = gate.configuration.as_ref().and_then(|c| c.route(host, parts.uri.path()));
+        route.is_some_and(|route| route.repeats == Repeats::Safe)
+    }
+
     /// Answers one request; without a body where it has none.
     pub async fn answer(&self, parts: &Parts, body: Option<Incoming>) -> Response<Out> {
         let _open = Counted::up(&self.open, 1);
--- a/crates/crossbar/src/run.rs
+++ b/crates/crossbar/src/run.rs
@@ -188,7 +188,8 @@
     let taken = front.clone();
     let begin = Box::new(move |parts: &Parts| {
         let (front, parts) = (taken.clone(), parts.clone());
-        spawn_local(async move { front.answer(&parts, None).await })
+        let may = front.may_repeat(&parts);
+        may.then(|| spawn_local(async move { front.answer(&parts, None).await }))
     });
     let stream = Watched { stream, watch: seat.watch.clone(), ahead: Ahead::default(), begin };
     let connection = hyper::server::conn::http1::Builder::new()
--- a/crates/decisions/src/gatekeeper/customers.rs
+++ b/crates/decisions/src/gatekeeper/customers.rs
@@ -3,10 +3,6 @@
 
 /// Idle windows before an entry may age out: by then its counts and box have lapsed twice over.
 const IDLE_WINDOWS: f64 = 4.0;
-/// Longest window, µs: two of them are the longest that a counter keeps a number.
-const WINDOW_MAX: f64 = 30e6;
-/// Window where a plan has no rate, µs: the write-up's ten seconds.
-const OPEN_WINDOW: f64 = 10e6;
 /// Largest part of a rate granted to the others by habit is 1 less this share of an even part.
 const OWN_LEAST: f64 = 0.5;
 
@@ -67,12 +63,6 @@
     }
 }
 
-/// The window of a plan's counts, µs.
-pub(super) fn window(p: &Plan) -> f64 {
-    let span = if p.rate > 0.0 { p.burst / p.rate * 1e6 } else { OPEN_WINDOW };
-    span.clamp(1e5, WINDOW_MAX)
-}
-
 impl Customer {
     /// One that is seen for the first time, at one of so many gatekeepers; its ceiling fills from `since` on.
     pub fn new(p: &Plan, name: &CustomerId, gatekeepers: f64, now: Micros, since: Micros) -> Customer {
--- a/crates/decisions/src/gatekeeper/mod.rs
+++ b/crates/decisions/src/gatekeeper/mod.rs
@@ -17,7 +17,6 @@
 
 use crate::api::*;
 use crate::state::*;
-use customers::window;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Housekeeping period, µs: short against any aim, long against the clock's resolution.
@@ -34,6 +33,17 @@
 /// Pace of calls at the start, µs between two calls of all gatekeepers together: each keeps its part of it.
 const CALL_START: f64 = 2_000.0;
 
+/// Longest window, µs: two of them are the longest that a counter keeps a number.
+const WINDOW_MAX: f64 = 30e6;
+/// Window where a plan has no rate, µs: the write-up's ten seconds.
+const OPEN_WINDOW: f64 = 10e6;
+
+/// The window of a plan's counts, µs.
+fn window(p: &Plan) -> f64 {
+    let span = if p.rate > 0.0 { p.burst / p.rate * 1e6 } else { OPEN_WINDOW };
+    span.clamp(1e5, WINDOW_MAX)
+}
+
 /// The decisions of one gatekeeper.
 #[derive(Default)]
 pub struct Gatekeeper {
--- a/crates/decisions/src/gatekeeper/quotas.rs
+++ b/crates/decisions/src/gatekeeper/quotas.rs
@@ -14,7 +14,7 @@
         self.cur.mine + self.cur.others + last + self.pending + self.flying + self.predicted - self.prepaid
     }
 
-    /// The design's ordinary path: count against the quota, the box, the open cap. `Some` is retry advice, µs.
+    /// The design's ordinary path: count against the quota, the box, the open cap. `Some`: retry advice, µs.
     /// Of `units`, `prepaid` are in the count already; `dice` is drawn from 0 to 1.
     pub fn beyond(&mut self, p: &Plan, units: f64, prepaid: f64, now: Micros, dice: f64) -> Option<Micros> {
         let window = window(p);
