Learn from answers how much a service may have under way, and refuse early what is beyond

Cause: what a quota allows can be more than a service can do (231 of 218 a second); all of it waited in the servers' queues. Change: each gatekeeper limits what a service has under way from it once the mean of its answers passes 0.62 of their aims, more so for lower ranks; nothing else waits. Ruled out: slow servers (all of the service alike), too few connections.

--- a/crates/crossbar/src/front.rs
+++ b/crates/crossbar/src/front.rs
@@ -95,6 +95,8 @@
 struct There<'f> {
     front: &'f Front,
     id: Rc<str>,
+    service: &'f str,
+    aim: Millis,
     ended: bool,
 }
 
@@ -102,7 +104,11 @@
     fn end(&mut self, outcome: Option<&Outcome>, took: Millis) {
         if !std::mem::replace(&mut self.ended, true) {
             let sign = outcome.map_or(crate::servers::Sign::Nothing, |outcome| Journey::sign(outcome, took));
-            self.front.gate.borrow_mut().servers.end(self.front.now(), &self.id, sign);
+            let part =
+                matches!(sign, crate::servers::Sign::Good(_)).then(|| took as f64 / self.aim.max(1) as f64);
+            let (gate, now) = (&mut *self.front.gate.borrow_mut(), self.front.now());
+            gate.servers.end(now, &self.id, sign);
+            gate.room.end(now, self.service, part);
             self.front.room.notify_one();
         }
     }
@@ -199,7 +205,7 @@
     }
 
     /// Takes a request its way.
-    async fn travel(&self, parts: &Parts, body: Bytes, pass: &Pass) -> Response<Out> {
+    async fn travel<'p>(&'p self, parts: &Parts, body: Bytes, pass: &'p Pass) -> Response<Out> {
         let route = pass.route();
         let begun = self.now();
         let mut journey = Journey {
@@ -219,7 +225,13 @@
             let now = self.now();
             let left = pass.deadline.saturating_sub(now);
             let request = forwarded(parts, body.clone(), pass, &life, left);
-            let mut there = There { front: self, id: life.clone(), ended: false };
+            let mut there = There {
+                front: self,
+                id: life.clone(),
+                service: &pass.service,
+                aim: journey.aim,
+                ended: false,
+            };
             if journey.tried.is_empty() {
                 self.gate.borrow_mut().budget.earn(now, &pass.service);
             }
@@ -251,11 +263,16 @@
             }
             {
                 let gate = &mut *self.gate.borrow_mut();
-                if let Some(id) = gate.servers.pick(now, &pass.service, &journey.tried) {
+                let room = gate.room.has(&pass.service, pass.priority);
+                let picked = if room { gate.servers.pick(now, &pass.service, &journey.tried) } else { None };
+                if let Some(id) = picked {
                     let address = gate.servers.get(&id).and_then(|s| s.told.address.parse().ok());
                     gate.servers.begin(&id);
                     match address {
-                        Some(address) => return Some((id, address)),
+                        Some(address) => {
+                            gate.room.begin(&pass.service);
+                            return Some((id, address));
+                        }
                         None => gate.servers.end(now, &id, crate::servers::Sign::Absent),
                     }
                 }
--- a/crates/crossbar/src/gate.rs
+++ b/crates/crossbar/src/gate.rs
@@ -3,6 +3,7 @@
 use crate::budget::Budget;
 use crate::control::{Change, Control};
 use crate::dials::names;
+use crate::room::Room;
 use crate::servers::Servers;
 use crate::tenants::Tenants;
 use crate::Millis;
@@ -66,6 +67,8 @@
     pub servers: Servers,
     /// The tenants.
     pub tenants: Tenants,
+    /// How much each service may have under way from here.
+    pub room: Room,
     /// Further tries.
     pub budget: Budget,
     /// The sessions with markers.
@@ -85,6 +88,7 @@
             configuration: None,
             servers: Servers::new(zone, seed),
             tenants: Tenants::new(seed ^ 2),
+            room: Room::default(),
             budget: Budget::new(bounds.retry_ratio, bounds.retry_slack, window),
             control,
             whole: false,
--- a/crates/crossbar/src/lib.rs
+++ b/crates/crossbar/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod gate;
 pub mod journey;
+pub mod room;
 pub mod run;
 pub mod servers;
 pub mod tenants;
