Send away connections that nobody uses once there are many

Cause: clients that are refused come back on new connections; the old ones stayed for the whole idle time. Change: past 160 connections a newcomer sends away the one that has been idle for longest, if for 1.5 s.

--- a/crates/crossbar/src/clients.rs
+++ b/crates/crossbar/src/clients.rs
@@ -20,6 +20,11 @@
 /// Requests of a connection whose work may begin before they are due.
 const EARLY_MAX: usize = 8;
 
+/// Connections past which a newcomer sends away whichever has been idle for longest, if that is so long: each takes
+/// memory, and clients that are refused come back on new ones.
+const ENOUGH: usize = 160;
+const SETTLED: Duration = Duration::from_millis(1_500);
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -132,9 +137,11 @@
     /// A client connects. Where all places are taken the one that has been idle for longest is told to go.
     pub fn seat(self: &Rc<Self>, most: usize) -> Option<Seat> {
         let mut all = self.all.borrow_mut();
-        if all.len() >= most {
+        if all.len() >= most.min(ENOUGH) {
+            let now = Instant::now();
+            let settled = if all.len() >= most { Duration::ZERO } else { SETTLED };
             let idle = all.values().filter_map(|watch| match watch.phase.get() {
-                Phase::Idle(since) if !watch.ending.get() => Some((since, watch)),
+                Phase::Idle(since) if !watch.ending.get() && now >= since + settled => Some((since, watch)),
                 _ => None,
             });
             if let Some((_, watch)) = idle.min_by_key(|(since, _)| *since) {
