--- a/crates/crossbar/src/room.rs
+++ b/crates/crossbar/src/room.rs
@@ -80,7 +80,7 @@
     fn offer(room: &mut Room, from: Millis, a_second: u64) -> (f64, usize) {
         let (mut free, mut ends, mut last) = (vec![from; 8], Vec::<(Millis, f64)>::new(), Vec::new());
         for now in from..from + 10_000 {
-            ends.sort_by(|a, b| b.0.cmp(&a.0));
+            ends.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
             while ends.last().is_some_and(|(at, _)| *at <= now) {
                 let (_, part) = ends.pop().unwrap();
                 room.end(now, "s", Some(part));
