Take the best of ten drawn servers in place of two

Cause: of two drawn servers both may be bad; what is expected of a server (its learned slowness, what is under way from here, zone) tells more than the draw allowed for. Change: ten draws by speed and zone, slowness learned with 0.2 in place of 0.15.

--- a/crates/crossbar/src/servers.rs
+++ b/crates/crossbar/src/servers.rs
@@ -10,8 +10,11 @@
 
 /// How much better a server of another zone must look.
 const CROSS_ZONE: f64 = 1.3;
+/// Servers drawn for each request, of which the best is taken: nearly the best of all, and not the same at all
+/// gatekeepers.
+const DRAWS: usize = 10;
 /// Weight of a new answer in what is known of a server, and in what is known of its service.
-const LEARN: (f64, f64) = (0.15, 0.03);
+const LEARN: (f64, f64) = (0.2, 0.03);
 /// A server that fails is left alone for so long at first; doubled with each further failure, so often at most.
 const AVOID: (Millis, u32) = (600, 4);
 /// Most of what a server may have under way from here, in its slots, before others must take it.
@@ -140,8 +143,8 @@
         server.slow * cold * zone * (0.5 + load)
     }
 
-    /// The best server of a service for a request that was tried at some already: the better of two that are drawn
-    /// by their speed. `None` where all have as much as they may have.
+    /// The best server of a service for a request that was tried at some already, of a few that are drawn by their
+    /// speed. `None` where all have as much as they may have.
     pub fn pick(&mut self, now: Millis, service: &str, tried: &[Rc<str>]) -> Option<Rc<str>> {
         let ids = self.services.get(service)?;
         let ready: Vec<(&Rc<str>, &Server)> = ids
@@ -169,9 +172,10 @@
                 })
                 .or(fit.last())
         };
-        let (one, other) = (draw()?, draw()?);
-        let better = if self.expected(one.1, now) <= self.expected(other.1, now) { one } else { other };
-        Some(better.0.clone())
+        let drawn: Vec<_> = (0..DRAWS).filter_map(|_| draw()).collect();
+        let wait = |one: &(&Rc<str>, &Server)| self.expected(one.1, now);
+        let best = drawn.into_iter().min_by(|a, b| wait(a).total_cmp(&wait(b)))?;
+        Some(best.0.clone())
     }
 
     /// A request is sent to a server.
@@ -211,3 +215,78 @@
         self.typical.get(service).copied()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use googletest::prelude::*;
+
+    fn told(id: &str, zone: &str, sequence: u64, state: State) -> Instance {
+        Instance {
+            id: id.into(),
+            service: "s".into(),
+            address: "10.0.0.1:80".into(),
+            zone: zone.into(),
+            version: String::new(),
+            slots: 2,
+            state,
+            sequence,
+            cold_ms: 0,
+        }
+    }
+
+    fn servers(zones: &[(&str, &str)]) -> Servers {
+        let mut servers = Servers::new("a", 1);
+        servers.take(0, zones.iter().map(|(id, zone)| told(id, zone, 1, State::Ready)).collect());
+        servers
+    }
+
+    fn picks(servers: &mut Servers, now: Millis) -> BTreeMap<Rc<str>, usize> {
+        let mut picked = BTreeMap::new();
+        for _ in 0..200 {
+            let id = servers.pick(now, "s", &[]).unwrap();
+            *picked.entry(id).or_default() += 1;
+        }
+        picked
+    }
+
+    #[gtest]
+    fn the_own_zone_is_used_while_it_has_room_and_then_the_others() {
+        let mut servers = servers(&[("near", "a"), ("far", "b")]);
+        expect_that!(picks(&mut servers, 0)[&Rc::from("near")], ge(190));
+        (0..3).for_each(|_| servers.begin("near"));
+        expect_that!(picks(&mut servers, 0), eq(&BTreeMap::from([(Rc::from("far"), 200)])));
+        (0..3).for_each(|_| servers.begin("far"));
+        expect_that!(servers.pick(0, "s", &[]), none());
+    }
+
+    #[gtest]
+    fn slow_failing_leaving_and_tried_servers_are_left_alone() {
+        let mut servers = servers(&[("x", "a"), ("y", "a"), ("z", "a")]);
+        for _ in 0..30 {
+            for (id, took) in [("x", 50), ("y", 50), ("z", 400)] {
+                servers.begin(id);
+                servers.end(1_000, id, Sign::Good(took));
+            }
+        }
+        expect_that!(picks(&mut servers, 1_000).get("z"), none());
+        servers.end(1_000, "x", Sign::Absent);
+        expect_that!(picks(&mut servers, 1_000), eq(&BTreeMap::from([(Rc::from("y"), 200)])));
+        expect_that!(servers.pick(1_000, "s", &["y".into()]).as_deref(), some(eq("z")));
+        servers.take(1_000, vec![told("y", "a", 2, State::Draining)]);
+        expect_that!(servers.ready("s"), eq(2));
+        expect_that!(picks(&mut servers, 1_000), eq(&BTreeMap::from([(Rc::from("z"), 200)])));
+    }
+
+    #[gtest]
+    fn a_server_that_answers_here_is_not_gone_because_a_marker_misses_its_beats() {
+        let mut servers = servers(&[("x", "a")]);
+        servers.begin("x");
+        servers.end(1_000, "x", Sign::Good(10));
+        servers.take(2_000, vec![told("x", "a", 1, State::Gone)]);
+        expect_that!(servers.ready("s"), eq(1));
+        servers.take(2_000, vec![told("x", "a", u64::MAX, State::Gone)]);
+        expect_that!(servers.ready("s"), eq(0));
+        expect_true!(servers.all().is_empty());
+    }
+}
