Take out what nobody uses: a list of ended servers, two functions

Cause: found by reading the whole change once more. The lives that ended were collected at each word about servers and thrown away; two functions had no caller.

--- a/crates/crossbar/src/control.rs
+++ b/crates/crossbar/src/control.rs
@@ -80,11 +80,6 @@
         self.seeds = seeds;
     }
 
-    /// How many sessions stand.
-    pub fn standing(&self) -> usize {
-        self.sessions.len()
-    }
-
     /// Whether the home is heard, and so what the others let in.
     pub fn in_touch(&self, now: Millis) -> bool {
         let home = self.home.and_then(|ip| self.sessions.get(&ip));
--- a/crates/crossbar/src/gate.rs
+++ b/crates/crossbar/src/gate.rs
@@ -102,26 +102,25 @@
         self.whole && self.configuration.is_some() && !self.leaving
     }
 
-    /// What a marker told changes. Gives the version that is newly in force, and lives of servers that get nothing
-    /// new any more.
-    pub fn take(&mut self, now: Millis, change: Change) -> (Option<u32>, Vec<Rc<str>>) {
+    /// What a marker told changes. Gives the version that is in force, where it told one.
+    pub fn take(&mut self, now: Millis, change: Change) -> Option<u32> {
         match change {
             Change::Configuration(document) => {
                 let has = self.configuration.as_ref().map(|c| c.version);
                 if has.is_some_and(|has| has >= document.version) {
-                    return (has, Vec::new());
+                    return has;
                 }
                 match configuration::parse(&document.bytes) {
                     Ok(read) => {
                         let version = read.version;
                         self.configuration = Some(Rc::new(read));
-                        return (Some(version), Vec::new());
+                        return Some(version);
                     }
                     // Markers check the same way before they take one in.
                     Err(faults) => log::error!("a configuration that can't be used: {faults}"),
                 }
             }
-            Change::Servers(told) => return (None, self.servers.take(now, told)),
+            Change::Servers(told) => self.servers.take(now, told),
             Change::Whole => self.whole = true,
             Change::Gatekeepers(n, missed) => {
                 self.budget.share(n);
@@ -129,7 +128,7 @@
             }
             Change::Others(news) => self.tenants.hear(now, &news),
         }
-        (None, Vec::new())
+        None
     }
 
     /// Routes a request, checks its key, and counts it for its tenant.
--- a/crates/crossbar/src/journey.rs
+++ b/crates/crossbar/src/journey.rs
@@ -107,11 +107,6 @@
         }
     }
 
-    /// No server has room, or there is none.
-    pub fn on_no_room(&self, now: Millis) -> Next {
-        Next::End(self.ending(now))
-    }
-
     /// The final answer where no server's is passed on.
     pub fn ending(&self, now: Millis) -> Kind {
         match (self.may_have_run, now >= self.deadline) {
--- a/crates/crossbar/src/run.rs
+++ b/crates/crossbar/src/run.rs
@@ -149,7 +149,7 @@
         let now = self.front.now();
         let (change, mut say) = self.front.gate.borrow_mut().control.take(now, ip, word);
         if let Some(change) = change {
-            let (version, _) = self.front.gate.borrow_mut().take(self.front.now(), change);
+            let version = self.front.gate.borrow_mut().take(self.front.now(), change);
             say.extend(version.map(|version| (ip, Up::Has(version))));
             self.front.room.notify_waiters();
             self.front.news.notify_waiters();
--- a/crates/crossbar/src/servers.rs
+++ b/crates/crossbar/src/servers.rs
@@ -70,9 +70,8 @@
         Servers { zone: zone.to_owned(), rng: fastrand::Rng::with_seed(seed), ..Servers::default() }
     }
 
-    /// Takes in what a marker tells. Gives the lives that get nothing new any more.
-    pub fn take(&mut self, now: Millis, told: Vec<Instance>) -> Vec<Rc<str>> {
-        let mut ended = Vec::new();
+    /// Takes in what a marker tells.
+    pub fn take(&mut self, now: Millis, told: Vec<Instance>) {
         for word in told {
             let id: Rc<str> = word.id.as_str().into();
             let Some(server) = self.by_id.get_mut(&id) else {
@@ -100,9 +99,6 @@
             if silent && server.answered.is_some_and(|at| now < at + ANSWERED) {
                 continue;
             }
-            if word.state != State::Ready {
-                ended.push(id);
-            }
             server.told = word;
         }
         let gone = |s: &Server| s.told.state == State::Gone && s.under_way == 0;
@@ -115,7 +111,6 @@
             }
             keeps
         });
-        ended
     }
 
     /// All that are not gone, as others are to know them.
--- a/crates/crossbar/tests/timelines.rs
+++ b/crates/crossbar/tests/timelines.rs
@@ -237,7 +237,7 @@
                 let Some(gate) = self.columns[g].gate.as_mut() else { return };
                 let (change, mut say) = gate.control.take(now, ip, word);
                 if let Some(change) = change {
-                    let (version, _) = gate.take(now, change);
+                    let version = gate.take(now, change);
                     say.extend(version.map(|version| (ip, Up::Has(version))));
                 }
                 self.say(g, say);
