--- /dev/null
+++ b/crates/marker/src/agreement.rs
@@ -0,0 +1,527 @@
+//! The rules by which the core agrees, without time and without choice: what comes in, what has to be said and kept.
+//!
+//! [`crate::core`] decides when to try and whom to take; nothing that it decides can break what stands here. The same
+//! code is what `tests/model.rs` explores in every order of events.
+//!
+//! What must never happen: two primaries that both answer; an answered configuration that is gone while no more
+//! than the stated number of folders are lost; a read that is older than an answer.
+//!
+//! A round, begun by somebody who holds everything, goes: **Ask** (its own promise is on its own disk first, so that no
+//! number is ever used twice), **Prepare** (a majority promises to keep no epoch below its number and tells the newest
+//! that it keeps), **Copy** (the backups-to-be hold what the beginner holds), **Keep** (a majority keeps the new epoch).
+//! Only then is anything answered in it. An epoch that changes the core needs a majority of the core before as well,
+//! and is followed by one that changes nothing.
+//!
+//! A marker whose folder was lost is another [`Node`]: it has no vote and holds nothing until an epoch names it.
+
+use crate::parts::Keeping;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use trunk::words::{Between, Document, Epoch, Node, Number};
+
+/// Reads that are being made certain at once; of more the oldest is forgotten, and asked for again.
+const CHECKS_MAX: usize = 512;
+
+/// What is done once a write is on disk.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Then {
+    /// Say that something is kept: what was asked for by whom.
+    Promise(Ipv4Addr, Number),
+    /// See [`Then::Promise`].
+    Copied(Ipv4Addr, Number),
+    /// See [`Then::Promise`].
+    Kept(Ipv4Addr, Number),
+    /// See [`Then::Promise`].
+    Held(Ipv4Addr, Number, u32),
+    /// Ask the others to promise what is promised here.
+    Ask(Number),
+    /// Nothing.
+    Nothing,
+}
+
+/// What follows from something that came in.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// Say this to another marker.
+    Say(Ipv4Addr, Between),
+    /// Put all that has to last on disk, and give this back to [`Agreement::written`] once it is there.
+    Keep(Then),
+    /// A majority has promised this round: name the epoch to follow the newest, with [`Agreement::copy`].
+    Choose {
+        /// The round.
+        number: Number,
+        /// The newest epoch that one of them keeps.
+        newest: Epoch,
+        /// Who has promised.
+        willing: BTreeSet<Node>,
+    },
+    /// The round goes on to its next step.
+    GoesOn,
+    /// The round has failed.
+    Failed,
+    /// This marker is primary from now on.
+    Leads(Number),
+    /// It is no longer.
+    Deposed(Number),
+    /// This configuration can't be lost any more.
+    Safe(Arc<Document>),
+    /// Nothing newer than what is safe here was answered for before this check was begun.
+    Certain(u64),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Step {
+    Asking,
+    Preparing(BTreeMap<Node, Option<Epoch>>),
+    Copying(Epoch, BTreeSet<Node>),
+    Keeping(Epoch, BTreeSet<Node>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Round {
+    number: Number,
+    step: Step,
+    asked: BTreeSet<Node>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Leading {
+    number: Number,
+    backups: Vec<Node>,
+    /// The configuration on its way to be held, and who holds it.
+    holding: Option<(Arc<Document>, BTreeSet<Node>)>,
+    checks: BTreeMap<u64, BTreeSet<Node>>,
+}
+
+/// What one marker knows, promises and does of the agreement.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Agreement {
+    me: Node,
+    promised: Number,
+    copied: Number,
+    epoch: Option<Epoch>,
+    document: Option<Arc<Document>>,
+    sure: Option<Arc<Document>>,
+    highest: u64,
+    round: Option<Round>,
+    leading: Option<Leading>,
+    inbox: VecDeque<Between>,
+}
+
+/// Whether more than half of these agree.
+pub fn most(of: &[Node], agree: impl Fn(&Node) -> bool) -> bool {
+    of.iter().filter(|node| agree(node)).count() * 2 > of.len()
+}
+
+impl Agreement {
+    /// A marker that has kept this.
+    pub fn new(keeping: Keeping) -> Agreement {
+        let Keeping { node, promised, copied, epoch, document, sure, ballots: _ } = keeping;
+        // What was safe from loss still is, and may be in force before there is a primary again.
+        let safe = document.clone().filter(|d| sure == Some(d.version));
+        Agreement {
+            me: node,
+            promised,
+            copied,
+            epoch,
+            document,
+            sure: safe,
+            highest: promised.round,
+            round: None,
+            leading: None,
+            inbox: VecDeque::new(),
+        }
+    }
+
+    /// All that has to last of the agreement.
+    pub fn keeping(&self) -> Keeping {
+        // The number alone says too little: two operators may have sent different ones under it.
+        let sure = self.document.as_ref().filter(|d| self.sure.as_ref() == Some(d)).map(|d| d.version);
+        Keeping {
+            node: self.me,
+            promised: self.promised,
+            copied: self.copied,
+            epoch: self.epoch.clone(),
+            document: self.document.clone(),
+            sure,
+            ballots: BTreeMap::new(),
+        }
+    }
+
+    /// This marker.
+    pub fn me(&self) -> Node {
+        self.me
+    }
+
+    /// The epoch that is kept here.
+    pub fn epoch(&self) -> Option<&Epoch> {
+        self.epoch.as_ref()
+    }
+
+    /// No epoch below this one is kept here any more.
+    pub fn promised(&self) -> Number {
+        self.promised
+    }
+
+    /// The configuration that is held here, which may not be safe yet.
+    pub fn document(&self) -> Option<&Arc<Document>> {
+        self.document.as_ref()
+    }
+
+    /// The newest configuration that can't be lost any more, as far as is known here.
+    pub fn sure(&self) -> Option<&Arc<Document>> {
+        self.sure.as_ref()
+    }
+
+    /// The epoch in which this marker is primary, and its backups.
+    pub fn leads(&self) -> Option<(Number, &[Node])> {
+        self.leading.as_ref().map(|l| (l.number, l.backups.as_slice()))
+    }
+
+    /// Those who do not yet hold the configuration that is on its way.
+    pub fn late(&self) -> Vec<Node> {
+        let holding = self.leading.iter().filter_map(|l| l.holding.as_ref().map(|(_, held)| (l, held)));
+        let late = holding.flat_map(|(l, held)| l.backups.iter().filter(|n| !held.contains(n)));
+        late.copied().collect()
+    }
+
+    /// Whether a configuration is on its way to be held.
+    pub fn is_holding(&self) -> bool {
+        self.leading.as_ref().is_some_and(|l| l.holding.is_some())
+    }
+
+    /// The round of this marker that is under way.
+    pub fn asks(&self) -> Option<Number> {
+        self.round.as_ref().map(|round| round.number)
+    }
+
+    /// Those whom the round under way waits for to copy.
+    pub fn not_copied(&self) -> Vec<Node> {
+        match &self.round {
+            Some(Round { step: Step::Copying(epoch, copied), .. }) => {
+                epoch.backups.iter().filter(|n| !copied.contains(n)).copied().collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// A higher round is said to have been begun somewhere.
+    pub fn learn_round(&mut self, round: u64) {
+        self.highest = self.highest.max(round);
+    }
+
+    fn say(&mut self, to: Ipv4Addr, word: Between, acts: &mut Vec<Act>) {
+        if to == self.me.ip {
+            self.inbox.push_back(word);
+        } else {
+            acts.push(Act::Say(to, word));
+        }
+    }
+
+    /// Handles what was said to oneself meanwhile.
+    fn work(&mut self, acts: &mut Vec<Act>) {
+        while let Some(word) = self.inbox.pop_front() {
+            self.on_word(self.me, word, acts);
+        }
+    }
+
+    /// What was to be done after a write: it is on disk.
+    pub fn written(&mut self, then: Then, acts: &mut Vec<Act>) {
+        match then {
+            Then::Promise(to, number) => {
+                // A word that is overtaken by a higher promise is of no use to anybody.
+                if number == self.promised {
+                    self.say(to, Between::Promise(number, self.epoch.clone()), acts);
+                }
+            }
+            Then::Copied(to, number) => self.say(to, Between::Copied(number), acts),
+            Then::Kept(to, number) => self.say(to, Between::Kept(number), acts),
+            Then::Held(to, number, version) => self.say(to, Between::Held(number, version), acts),
+            Then::Ask(number) => self.ask(number, acts),
+            Then::Nothing => {}
+        }
+        self.work(acts);
+    }
+
+    /// Another marker says something.
+    pub fn take(&mut self, from: Node, word: Between, acts: &mut Vec<Act>) {
+        self.on_word(from, word, acts);
+        self.work(acts);
+    }
+
+    fn on_word(&mut self, from: Node, word: Between, acts: &mut Vec<Act>) {
+        let asked = match &word {
+            Between::Prepare(number) | Between::Copy(number, _) => Some(*number),
+            Between::Keep(epoch) => Some(epoch.number),
+            _ => None,
+        };
+        if asked.is_some_and(|number| !self.allows(from, number, acts)) {
+            return;
+        }
+        match word {
+            Between::Prepare(number) => {
+                self.promised = number;
+                acts.push(Act::Keep(Then::Promise(from.ip, number)));
+            }
+            Between::Promise(number, epoch) => self.on_promise(from, number, epoch, acts),
+            Between::Copy(number, document) => {
+                // A second copy of one round may be older than what was held since.
+                if number > self.copied {
+                    self.document = document.map(Arc::new);
+                }
+                (self.promised, self.copied) = (number, number);
+                acts.push(Act::Keep(Then::Copied(from.ip, number)));
+            }
+            Between::Copied(number) => self.on_copied(from, number, acts),
+            Between::Keep(epoch) => {
+                let number = epoch.number;
+                (self.promised, self.epoch) = (number, Some(epoch));
+                acts.push(Act::Keep(Then::Kept(from.ip, number)));
+            }
+            Between::Kept(number) => self.on_kept(from, number, acts),
+            Between::Over(number) => {
+                self.learn_round(number.round);
+                self.yield_to(number, acts);
+            }
+            Between::Hold(number, document) => {
+                if number != self.promised {
+                    return self.say(from.ip, Between::Over(self.promised), acts);
+                }
+                let version = document.version;
+                if self.document.as_ref().is_none_or(|d| d.version < version) {
+                    self.document = Some(Arc::new(document));
+                }
+                acts.push(Act::Keep(Then::Held(from.ip, number, version)));
+            }
+            Between::Held(number, version) => self.on_held(from, number, version, acts),
+            Between::Check(number, nonce) if number == self.promised => {
+                self.say(from.ip, Between::Checked(number, nonce), acts);
+            }
+            Between::Check(..) => self.say(from.ip, Between::Over(self.promised), acts),
+            Between::Checked(number, nonce) => self.on_checked(from, number, nonce, acts),
+            Between::Sure(document) => self.learn_sure(Arc::new(document), acts),
+            Between::Latest(epoch) => {
+                let newer = self.epoch.as_ref().is_none_or(|e| e.number < epoch.number);
+                if newer && epoch.number >= self.promised {
+                    self.learn_round(epoch.number.round);
+                    self.yield_to(epoch.number, acts);
+                    (self.promised, self.epoch) = (epoch.number, Some(epoch));
+                    // Nobody is told: one that keeps an epoch late decides nothing about it.
+                    acts.push(Act::Keep(Then::Nothing));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether nothing higher has been promised; tells the sender otherwise.
+    fn allows(&mut self, from: Node, number: Number, acts: &mut Vec<Act>) -> bool {
+        self.learn_round(number.round);
+        if number < self.promised {
+            self.say(from.ip, Between::Over(self.promised), acts);
+            return false;
+        }
+        self.yield_to(number, acts);
+        true
+    }
+
+    /// Gives up what is below a number.
+    fn yield_to(&mut self, number: Number, acts: &mut Vec<Act>) {
+        if self.leading.as_ref().is_some_and(|l| l.number < number) {
+            self.depose(acts);
+        }
+        if self.round.as_ref().is_some_and(|r| r.number < number) {
+            self.give_up(acts);
+        }
+    }
+
+    /// Is primary no longer.
+    pub fn depose(&mut self, acts: &mut Vec<Act>) {
+        if let Some(leading) = self.leading.take() {
+            acts.push(Act::Deposed(leading.number));
+        }
+    }
+
+    /// Gives up the round under way.
+    pub fn give_up(&mut self, acts: &mut Vec<Act>) {
+        if self.round.take().is_some() {
+            acts.push(Act::Failed);
+        }
+    }
+
+    /// Begins a round; whoever is primary here is no longer. Gives its number, unless no epoch is kept here.
+    pub fn begin(&mut self, acts: &mut Vec<Act>) -> Option<Number> {
+        let epoch = self.epoch.as_ref()?;
+        let asked = epoch.core.iter().chain(&epoch.before).copied().collect();
+        let number = Number { round: self.highest.max(self.promised.round) + 1, by: self.me.folder };
+        self.learn_round(number.round);
+        self.depose(acts);
+        self.promised = number;
+        self.round = Some(Round { number, step: Step::Asking, asked });
+        // Begun anew after a loss of power, the same number would name two epochs.
+        acts.push(Act::Keep(Then::Ask(number)));
+        Some(number)
+    }
+
+    fn ask(&mut self, number: Number, acts: &mut Vec<Act>) {
+        let Some(round) = self.round.as_mut().filter(|r| r.number == number) else { return };
+        if round.step != Step::Asking {
+            return;
+        }
+        round.step = Step::Preparing(BTreeMap::new());
+        let others: Vec<Node> = round.asked.iter().filter(|n| **n != self.me).copied().collect();
+        for node in others {
+            self.say(node.ip, Between::Prepare(number), acts);
+        }
+        self.on_promise(self.me, number, self.epoch.clone(), acts);
+    }
+
+    fn on_promise(&mut self, from: Node, number: Number, epoch: Option<Epoch>, acts: &mut Vec<Act>) {
+        let Some(round) = self.round.as_mut().filter(|r| r.number == number) else { return };
+        let Step::Preparing(promises) = &mut round.step else { return };
+        promises.insert(from, epoch);
+        let newest = promises.values().flatten().max_by_key(|e| e.number);
+        let Some(newest) = newest.cloned() else { return };
+        let more: Vec<Node> =
+            newest.core.iter().chain(&newest.before).copied().filter(|n| !round.asked.contains(n)).collect();
+        let promised = |node: &Node| promises.contains_key(node);
+        let enough = most(&newest.core, promised) && most(&newest.before, promised);
+        let willing: BTreeSet<Node> = promises.keys().copied().collect();
+        round.asked.extend(more.iter().copied());
+        for node in more {
+            self.say(node.ip, Between::Prepare(number), acts);
+        }
+        if !enough {
+            return;
+        }
+        if newest.holds(self.me) {
+            acts.push(Act::Choose { number, newest, willing });
+        } else {
+            // Somebody else has what was answered for.
+            self.give_up(acts);
+        }
+    }
+
+    /// The epoch that follows is chosen, of those who are willing: its backups are to hold what is held here.
+    pub fn copy(&mut self, next: Epoch, acts: &mut Vec<Act>) {
+        let Some(round) = self.round.as_mut().filter(|r| r.number == next.number) else { return };
+        round.step = Step::Copying(next.clone(), BTreeSet::new());
+        acts.push(Act::GoesOn);
+        let document = self.document.as_ref().map(|d| Document::clone(d));
+        for node in &next.backups {
+            self.say(node.ip, Between::Copy(next.number, document.clone()), acts);
+        }
+        if next.backups.is_empty() {
+            self.copied_all(acts);
+        }
+        self.work(acts);
+    }
+
+    fn on_copied(&mut self, from: Node, number: Number, acts: &mut Vec<Act>) {
+        let Some(round) = self.round.as_mut().filter(|r| r.number == number) else { return };
+        let Step::Copying(epoch, copied) = &mut round.step else { return };
+        copied.insert(from);
+        if epoch.backups.iter().all(|node| copied.contains(node)) {
+            self.copied_all(acts);
+        }
+    }
+
+    fn copied_all(&mut self, acts: &mut Vec<Act>) {
+        let Some(round) = &mut self.round else { return };
+        let Step::Copying(epoch, _) = &round.step else { return };
+        let epoch = epoch.clone();
+        round.step = Step::Keeping(epoch.clone(), BTreeSet::new());
+        acts.push(Act::GoesOn);
+        let all: BTreeSet<Node> = epoch.core.iter().chain(&epoch.before).copied().collect();
+        for node in all {
+            self.say(node.ip, Between::Keep(epoch.clone()), acts);
+        }
+    }
+
+    fn on_kept(&mut self, from: Node, number: Number, acts: &mut Vec<Act>) {
+        let Some(round) = self.round.as_mut().filter(|r| r.number == number) else { return };
+        let Step::Keeping(epoch, kept) = &mut round.step else { return };
+        kept.insert(from);
+        let has = |node: &Node| kept.contains(node);
+        if !(most(&epoch.core, has) && most(&epoch.before, has)) {
+            return;
+        }
+        let backups = epoch.backups.clone();
+        self.round = None;
+        self.leading = Some(Leading { number, backups, holding: None, checks: BTreeMap::new() });
+        acts.push(Act::Leads(number));
+        // What is held here is held by all backups, and by nobody who could come after without it.
+        if let Some(document) = self.document.clone() {
+            self.learn_sure(document, acts);
+        }
+    }
+
+    fn learn_sure(&mut self, document: Arc<Document>, acts: &mut Vec<Act>) {
+        if self.sure.as_ref().is_some_and(|sure| sure.version >= document.version) {
+            return;
+        }
+        self.sure = Some(document.clone());
+        if self.document == self.sure {
+            acts.push(Act::Keep(Then::Nothing));
+        }
+        acts.push(Act::Safe(document));
+    }
+
+    /// As primary: has this configuration held by all backups, if it is newer than what is held and nothing else is on
+    /// its way.
+    pub fn hold(&mut self, document: Arc<Document>, acts: &mut Vec<Act>) {
+        let newer = self.document.as_ref().is_none_or(|d| d.version < document.version);
+        let Some(leading) = self.leading.as_mut().filter(|l| l.holding.is_none() && newer) else { return };
+        let (number, backups) = (leading.number, leading.backups.clone());
+        leading.holding = Some((document.clone(), BTreeSet::new()));
+        self.document = Some(document.clone());
+        for node in backups {
+            self.say(node.ip, Between::Hold(number, Document::clone(&document)), acts);
+        }
+        acts.push(Act::Keep(Then::Held(self.me.ip, number, document.version)));
+        self.work(acts);
+    }
+
+    fn on_held(&mut self, from: Node, number: Number, version: u32, acts: &mut Vec<Act>) {
+        let Some(leading) = self.leading.as_mut().filter(|l| l.number == number) else { return };
+        let Some((document, held)) = leading.holding.as_mut().filter(|(d, _)| d.version == version) else {
+            return;
+        };
+        held.insert(from);
+        if leading.backups.iter().chain([&self.me]).all(|node| held.contains(node)) {
+            let document = document.clone();
+            leading.holding = None;
+            self.learn_sure(document, acts);
+        }
+    }
+
+    /// As primary: begins to make certain, or goes on, that nothing newer was answered for elsewhere.
+    pub fn check(&mut self, nonce: u64, acts: &mut Vec<Act>) {
+        let Some(leading) = &mut self.leading else { return };
+        let number = leading.number;
+        let checked = leading.checks.entry(nonce).or_default();
+        let left: Vec<Node> = leading.backups.iter().filter(|n| !checked.contains(n)).copied().collect();
+        if left.is_empty() {
+            leading.checks.remove(&nonce);
+            acts.push(Act::Certain(nonce));
+        }
+        while leading.checks.len() > CHECKS_MAX {
+            leading.checks.pop_first();
+        }
+        for node in left {
+            self.say(node.ip, Between::Check(number, nonce), acts);
+        }
+        self.work(acts);
+    }
+
+    fn on_checked(&mut self, from: Node, number: Number, nonce: u64, acts: &mut Vec<Act>) {
+        let Some(leading) = self.leading.as_mut().filter(|l| l.number == number) else { return };
+        let Some(checked) = leading.checks.get_mut(&nonce) else { return };
+        checked.insert(from);
+        if leading.backups.iter().all(|node| checked.contains(node)) {
+            leading.checks.remove(&nonce);
+            acts.push(Act::Certain(nonce));
+        }
+    }
+}
--- a/crates/marker/src/core.rs
+++ b/crates/marker/src/core.rs
@@ -1,28 +1,16 @@
-//! The core: who may answer operators, and what is held so that it can't be lost.
+//! The core as one marker runs it: when a round is tried, who becomes backup and who joins, which calls wait.
 //!
-//! An [`Epoch`] names a primary and its backups. The primary writes a configuration to every backup before it
-//! answers. All markers of the core keep epochs, also those that hold no configuration: these are the witnesses,
-//! and a majority decides which epoch is the last. Nothing here trusts a clock: time only says when to try.
-//!
-//! What must never happen: two primaries that both answer; an answered configuration that is gone while no more
-//! than the stated number of folders are lost; a read that is older than an answer.
-//!
-//! A round, begun by somebody who holds everything, goes: **Prepare** (a majority promises to keep no epoch below
-//! its number and tells the newest that it keeps), **Copy** (the backups-to-be hold what the beginner holds),
-//! **Keep** (a majority keeps the new epoch). Only then is anything answered in it. An epoch that changes the core
-//! needs a majority of the core before as well, and is followed by one that changes nothing.
-//!
-//! A marker whose folder was lost is another [`Node`]: it has no vote and holds nothing until an epoch names it.
+//! The rules stand in [`crate::agreement`]; nothing that is decided here can break them, and nothing there trusts a
+//! clock. Time only says when to try.
 
-use crate::parts::{Keeping, Output, Reply};
+use crate::agreement::{most, Act, Agreement, Then};
+use crate::duties::Duties;
+use crate::parts::{Keeping, Millis, Output, Reply};
 use plugboard::kinds::Kind;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Between, Document, Epoch, Node, Number};
-
-/// Points in time and spans, ms of a clock that never goes back.
-pub type Millis = u64;
+use trunk::words::{Between, Document, Duty, Epoch, Node, Number};
 
 /// How often a marker says that it is there.
 const HEAR: Millis = 150;
@@ -63,36 +51,9 @@
     sure_sent: Millis,
 }
 
-enum Step {
-    Preparing(BTreeMap<Node, Option<Epoch>>),
-    Copying(Epoch, BTreeSet<Node>),
-    Keeping(Epoch, BTreeSet<Node>),
-}
-
-struct Round {
-    number: Number,
-    begun: Millis,
-    step: Step,
-    asked: BTreeSet<Node>,
-}
-
-/// A configuration on its way to be held.
-struct Holding {
-    document: Arc<Document>,
-    held: BTreeSet<Node>,
-    since: Millis,
-}
-
-struct Leading {
-    number: Number,
-    backups: Vec<Node>,
-    holding: Option<Holding>,
-}
-
-/// What waits for an answer.
 enum Asked {
     Replace(Arc<Document>),
-    Read { nonce: u64, checked: BTreeSet<Node> },
+    Read { nonce: u64 },
 }
 
 struct Call {
@@ -102,10 +63,10 @@
 }
 
 /// What is done once a write is on disk.
-enum Then {
-    Say(Ipv4Addr, Between),
-    HeldHere(Number, u32),
-    Nothing,
+enum After {
+    Agreed(Then),
+    Ballot(Duty, Number),
+    Vote(Ipv4Addr, Duty, Number),
 }
 
 /// What one sees of the core from outside.
@@ -119,31 +80,28 @@
     pub sure: Option<u32>,
     /// Rounds begun and won here.
     pub rounds: (u64, u64),
+    /// Who holds each duty, by what is heard here, and under which number.
+    pub duties: Vec<(Duty, Option<(Node, Number)>)>,
 }
 
 /// The core as one marker runs it.
 pub struct Core {
-    me: Node,
+    agreement: Agreement,
+    duties: Duties,
     seeds: Vec<Ipv4Addr>,
     losses: usize,
     rng: fastrand::Rng,
     now: Millis,
     started: Millis,
-    promised: Number,
-    epoch: Option<Epoch>,
-    document: Option<Arc<Document>>,
-    /// The newest one that can't be lost any more.
-    sure: Option<Arc<Document>>,
     heard: BTreeMap<Ipv4Addr, Heard>,
     said: Millis,
     primary: Option<(Ipv4Addr, Millis)>,
     suspect_after: Millis,
-    highest: u64,
-    round: Option<Round>,
+    round_begun: Millis,
     next_round: Millis,
     failed_rounds: u32,
     rounds: (u64, u64),
-    leading: Option<Leading>,
+    holding_since: Millis,
     majority_heard: Millis,
     slow: BTreeMap<Ipv4Addr, Millis>,
     calls: Vec<Call>,
@@ -151,8 +109,7 @@
     ticket: u64,
     written: u64,
     writing_since: Millis,
-    then: VecDeque<(u64, Then)>,
-    inbox: VecDeque<Between>,
+    then: VecDeque<(u64, After)>,
     leaving: bool,
 }
 
@@ -161,12 +118,24 @@
     Node { ip, folder: u64::from(u32::from(ip)) }
 }
 
+fn empty(node: Node) -> Keeping {
+    let zero = Number::default();
+    Keeping {
+        node,
+        promised: zero,
+        copied: zero,
+        epoch: None,
+        document: None,
+        sure: None,
+        ballots: BTreeMap::new(),
+    }
+}
+
 /// What a marker with an empty folder begins with: one of the founders at the first start of all, else one from
 /// outside, whose folder is drawn.
 pub fn begin(ip: Ipv4Addr, seeds: &[Ipv4Addr], first_start: bool, drawn: u64) -> Keeping {
     if !(first_start && seeds.contains(&ip)) {
-        let node = Node { ip, folder: drawn | 1 << 63 };
-        return Keeping { node, promised: Number::default(), epoch: None, document: None, sure: None };
+        return empty(Node { ip, folder: drawn | 1 << 63 });
     }
     let mut core: Vec<Node> = seeds.iter().copied().map(founder).collect();
     core.sort();
@@ -174,48 +143,37 @@
     let founding =
         Epoch { number: Number::default(), before: core.clone(), backups: core.clone(), core, primary: None };
     let (node, epoch) = (founder(ip), Some(founding));
-    Keeping { node, promised: Number::default(), epoch, document: None, sure: None }
-}
-
-fn most(of: &[Node], agree: impl Fn(&Node) -> bool) -> bool {
-    of.iter().filter(|node| agree(node)).count() * 2 > of.len()
+    Keeping { epoch, ..empty(node) }
 }
 
 impl Core {
     /// A marker that has kept this.
     pub fn new(keeping: Keeping, seeds: &[Ipv4Addr], losses: usize, seed: u64, now: Millis) -> Core {
-        let Keeping { node, promised, epoch, document, sure } = keeping;
         let mut rng = fastrand::Rng::with_seed(seed);
         // Nobody has been heard yet, and so nobody missed: whoever held everything last begins soon. Where there is
         // a primary the others say so before.
-        let first = epoch.as_ref().is_some_and(|e| match e.primary {
-            Some(primary) => primary == node,
-            None => e.core.first() == Some(&node),
+        let first = keeping.epoch.as_ref().is_some_and(|e| match e.primary {
+            Some(primary) => primary == keeping.node,
+            None => e.core.first() == Some(&keeping.node),
         });
         let suspect_after = START.0 + if first { 0 } else { rng.u64(START.1..START.2) };
-        // What was safe from loss still is, and may be in force before there is a primary again.
-        let safe = document.clone().filter(|d| sure.is_some_and(|sure| d.version <= sure));
         Core {
-            me: node,
+            duties: Duties::new(keeping.node, keeping.ballots.clone(), rng.u64(..), now),
+            agreement: Agreement::new(keeping),
             seeds: seeds.to_vec(),
             losses,
             rng,
             now,
             started: now,
-            promised,
-            epoch,
-            document,
-            sure: safe,
             heard: BTreeMap::new(),
             said: 0,
             primary: None,
             suspect_after,
-            highest: promised.round,
-            round: None,
+            round_begun: now,
             next_round: 0,
             failed_rounds: 0,
             rounds: (0, 0),
-            leading: None,
+            holding_since: now,
             majority_heard: now,
             slow: BTreeMap::new(),
             calls: Vec::new(),
@@ -224,37 +182,48 @@
             written: 0,
             writing_since: now,
             then: VecDeque::new(),
-            inbox: VecDeque::new(),
             leaving: false,
         }
     }
 
     /// This marker.
     pub fn me(&self) -> Node {
-        self.me
+        self.agreement.me()
     }
 
     /// What one sees of it from outside.
     pub fn view(&self) -> View {
         View {
-            epoch: self.epoch.clone(),
-            leads: self.leading.is_some(),
-            sure: self.sure.as_ref().map(|d| d.version),
+            epoch: self.agreement.epoch().cloned(),
+            leads: self.agreement.leads().is_some(),
+            sure: self.agreement.sure().map(|d| d.version),
             rounds: self.rounds,
+            duties: self.duties.holders(self.now),
         }
     }
 
     /// The newest configuration that can't be lost any more, as far as is known here.
     pub fn sure(&self) -> Option<&Arc<Document>> {
-        self.sure.as_ref()
+        self.agreement.sure()
+    }
+
+    /// The number under which this marker has a duty now.
+    pub fn holds(&self, duty: Duty) -> Option<Number> {
+        self.duties.held(duty).filter(|_| self.hears_most())
+    }
+
+    /// Whether what somebody does as the holder of a duty still counts.
+    pub fn allows(&mut self, duty: Duty, number: Number) -> bool {
+        self.duties.allows(duty, number)
     }
 
     /// All other markers that are known.
     pub fn known(&self) -> BTreeSet<Ipv4Addr> {
-        let core = self.epoch.iter().flat_map(|e| e.core.iter().chain(&e.before)).map(|node| node.ip);
+        let core = self.agreement.epoch().into_iter();
+        let core = core.flat_map(|e| e.core.iter().chain(&e.before)).map(|node| node.ip);
         let mut known: BTreeSet<Ipv4Addr> = core.chain(self.seeds.iter().copied()).collect();
         known.extend(self.heard.keys().copied());
-        known.remove(&self.me.ip);
+        known.remove(&self.me().ip);
         known
     }
 
@@ -266,7 +235,7 @@
 
     /// Whether this marker hears most of the core, itself included.
     pub fn hears_most(&self) -> bool {
-        self.epoch.as_ref().is_some_and(|e| most(&e.core, |node| self.hears(*node)))
+        self.agreement.epoch().is_some_and(|e| most(&e.core, |node| self.hears(*node)))
     }
 
     /// The seeds as a new settings file names them.
@@ -276,35 +245,21 @@
 
     fn hears(&self, node: Node) -> bool {
         let heard = |h: &Heard| h.node == node && self.now < h.at + HEARD;
-        node == self.me || self.heard.get(&node.ip).is_some_and(heard)
+        node == self.me() || self.heard.get(&node.ip).is_some_and(heard)
     }
 
     fn has_primary(&self) -> bool {
-        self.leading.is_some() || self.primary.is_some_and(|(_, at)| self.now < at + HEARD)
-    }
-
-    fn say(&mut self, to: Ipv4Addr, word: Between, out: &mut Vec<Output>) {
-        if to == self.me.ip {
-            self.inbox.push_back(word);
-        } else {
-            out.push(Output::Send(to, word));
-        }
+        let heard = self.primary.is_some_and(|(_, at)| self.now < at + HEARD);
+        self.agreement.leads().is_some() || heard
     }
 
-    /// Puts all that has to last on disk, and does something once it is there.
-    fn keep(&mut self, then: Then, out: &mut Vec<Output>) {
+    fn keep(&mut self, after: After, out: &mut Vec<Output>) {
         if self.ticket == self.written {
             self.writing_since = self.now;
         }
         self.ticket += 1;
-        self.then.push_back((self.ticket, then));
-        let keeping = Keeping {
-            node: self.me,
-            promised: self.promised,
-            epoch: self.epoch.clone(),
-            document: self.document.clone(),
-            sure: self.sure.as_ref().map(|d| d.version),
-        };
+        self.then.push_back((self.ticket, after));
+        let keeping = Keeping { ballots: self.duties.ballots().clone(), ..self.agreement.keeping() };
         out.push(Output::Write(self.ticket, keeping));
     }
 
@@ -315,185 +270,121 @@
         self.writing_since = self.now;
         while self.then.front().is_some_and(|(t, _)| *t <= self.written) {
             match self.then.pop_front() {
-                Some((_, Then::Say(to, word))) => self.say(to, word, out),
-                Some((_, Then::HeldHere(number, version))) => self.on_held(self.me, number, version, out),
-                Some((_, Then::Nothing)) | None => {}
+                Some((_, After::Agreed(then))) => self.agree(out, |a, acts| a.written(then, acts)),
+                Some((_, After::Vote(to, duty, number))) => {
+                    out.push(Output::Send(to, Between::Vote(duty, number)));
+                }
+                Some((_, After::Ballot(duty, number))) => {
+                    let (me, core) = (self.me(), self.voters());
+                    for node in core.iter().filter(|node| **node != me) {
+                        out.push(Output::Send(node.ip, Between::Ballot(duty, number)));
+                    }
+                    self.duties.on_vote(self.now, me, duty, number, &core);
+                }
+                None => {}
             }
         }
-        self.work(out);
     }
 
-    /// Handles what was said to oneself meanwhile.
-    fn work(&mut self, out: &mut Vec<Output>) {
-        while let Some(word) = self.inbox.pop_front() {
-            self.take(self.me, word, out);
+    fn voters(&self) -> Vec<Node> {
+        self.agreement.epoch().map(|e| e.core.clone()).unwrap_or_default()
+    }
+
+    /// Has the agreement take something in, and does what follows.
+    fn agree(&mut self, out: &mut Vec<Output>, take: impl FnOnce(&mut Agreement, &mut Vec<Act>)) {
+        let mut acts = Vec::new();
+        take(&mut self.agreement, &mut acts);
+        let mut acts = VecDeque::from(acts);
+        while let Some(act) = acts.pop_front() {
+            let mut more = Vec::new();
+            match act {
+                Act::Say(to, word) => out.push(Output::Send(to, word)),
+                Act::Keep(then) => self.keep(After::Agreed(then), out),
+                Act::Choose { number, newest, willing } => {
+                    if let Some(next) = self.next_epoch(number, &newest, &willing) {
+                        self.agreement.copy(next, &mut more);
+                    }
+                }
+                Act::GoesOn => self.round_begun = self.now,
+                Act::Failed => {
+                    let longest = (AGAIN.1 << self.failed_rounds.min(8)).min(AGAIN.2);
+                    self.failed_rounds += 1;
+                    self.next_round = self.now + self.rng.u64(AGAIN.0..=longest);
+                }
+                Act::Leads(number) => {
+                    log::info!("primary of round {} with {:?}", number.round, self.agreement.leads());
+                    self.failed_rounds = 0;
+                    self.rounds.1 += 1;
+                    (self.majority_heard, self.said) = (self.now, 0);
+                    self.ask_again(&mut more);
+                }
+                Act::Deposed(number) => log::info!("no longer primary of round {}", number.round),
+                Act::Safe(document) => self.on_safe(document, out),
+                Act::Certain(nonce) => {
+                    let sure = self.agreement.sure().cloned();
+                    self.answer(
+                        |asked| matches!(asked, Asked::Read { nonce: n } if *n == nonce),
+                        out,
+                        |_| match &sure {
+                            Some(document) => Reply::document(document.clone()),
+                            None => Reply::fault(Kind::Unknown, "there is no configuration yet"),
+                        },
+                    );
+                }
+            }
+            // What follows from an act comes before the other acts.
+            more.into_iter().rev().for_each(|act| acts.push_front(act));
         }
     }
 
     /// Takes in what another marker says.
     pub fn on_word(&mut self, now: Millis, from: Node, word: Between, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
-        self.take(from, word, out);
-        self.work(out);
-    }
-
-    fn take(&mut self, from: Node, word: Between, out: &mut Vec<Output>) {
         match word {
-            Between::Hear { epoch, leads, led, sure, others } => {
+            Between::Hear { epoch, leads, led, sure, others, duties } => {
+                self.duties.on_hear(self.now, from, &duties);
                 self.on_hear(from, epoch, leads, led, sure, &others, out);
             }
-            Between::Prepare(number) => self.on_prepare(from, number, out),
-            Between::Promise(number, epoch) => self.on_promise(from, number, epoch, out),
-            Between::Copy(number, document) => {
-                if !self.allows(from, number, out) {
-                    return;
-                }
-                self.promised = number;
-                self.document = document.map(Arc::new);
-                self.keep(Then::Say(from.ip, Between::Copied(number)), out);
-            }
-            Between::Copied(number) => self.on_copied(from, number, out),
-            Between::Keep(epoch) => {
-                let number = epoch.number;
-                if !self.allows(from, number, out) {
-                    return;
-                }
-                (self.promised, self.epoch) = (number, Some(epoch));
-                self.keep(Then::Say(from.ip, Between::Kept(number)), out);
-            }
-            Between::Kept(number) => self.on_kept(from, number, out),
-            Between::Over(number) => self.on_over(number),
-            Between::Hold(number, document) => {
-                if number != self.promised {
-                    return self.say(from.ip, Between::Over(self.promised), out);
-                }
-                let version = document.version;
-                if self.document.as_ref().is_none_or(|d| d.version < version) {
-                    self.document = Some(Arc::new(document));
+            Between::Ballot(duty, number) => {
+                if self.voters().contains(&from) && self.duties.on_ballot(self.now, from, duty, number) {
+                    self.keep(After::Vote(from.ip, duty, number), out);
                 }
-                self.keep(Then::Say(from.ip, Between::Held(number, version)), out);
             }
-            Between::Held(number, version) => self.on_held(from, number, version, out),
-            Between::Check(number, nonce) if number == self.promised => {
-                self.say(from.ip, Between::Checked(number, nonce), out);
-            }
-            Between::Check(..) => self.say(from.ip, Between::Over(self.promised), out),
-            Between::Checked(number, nonce) => self.on_checked(from, number, nonce, out),
-            Between::Sure(document) => self.learn_sure(Arc::new(document), out),
-            Between::Latest(epoch) => {
-                let newer = self.epoch.as_ref().is_none_or(|e| e.number < epoch.number);
-                if newer && epoch.number >= self.promised {
-                    self.highest = self.highest.max(epoch.number.round);
-                    (self.promised, self.epoch) = (epoch.number, Some(epoch));
-                    // Nobody is told: one that keeps an epoch late decides nothing about it.
-                    self.keep(Then::Nothing, out);
-                }
+            Between::Vote(duty, number) => {
+                let core = self.voters();
+                self.duties.on_vote(self.now, from, duty, number, &core);
             }
             Between::HandOver(number) => {
-                let mine = self.epoch.as_ref().is_some_and(|e| e.number == number && e.holds(self.me));
-                if mine && self.round.is_none() && !self.leaving {
+                let mine = |e: &Epoch| e.number == number && e.holds(self.me());
+                let mine = self.agreement.epoch().is_some_and(mine);
+                if mine && self.agreement.asks().is_none() && !self.leaving {
                     self.begin_round(out);
                 }
             }
-            _ => {}
-        }
-    }
-
-    /// Whether nothing higher has been promised; tells the sender otherwise.
-    fn allows(&mut self, from: Node, number: Number, out: &mut Vec<Output>) -> bool {
-        self.highest = self.highest.max(number.round);
-        if number < self.promised {
-            self.say(from.ip, Between::Over(self.promised), out);
-            return false;
-        }
-        self.yield_to(number);
-        true
-    }
-
-    /// Gives up what is below a number.
-    fn yield_to(&mut self, number: Number) {
-        if self.leading.as_ref().is_some_and(|l| l.number < number) {
-            log::info!("no longer primary: round {} is begun", number.round);
-            self.leading = None;
-        }
-        if self.round.as_ref().is_some_and(|r| r.number < number) {
-            self.fail_round();
-        }
-    }
-
-    fn fail_round(&mut self) {
-        self.round = None;
-        let longest = (AGAIN.1 << self.failed_rounds.min(8)).min(AGAIN.2);
-        self.failed_rounds += 1;
-        self.next_round = self.now + self.rng.u64(AGAIN.0..=longest);
-    }
-
-    fn on_over(&mut self, number: Number) {
-        self.highest = self.highest.max(number.round);
-        self.yield_to(number);
-    }
-
-    fn on_prepare(&mut self, from: Node, number: Number, out: &mut Vec<Output>) {
-        if !self.allows(from, number, out) {
-            return;
-        }
-        self.promised = number;
-        if from != self.me {
-            // Whoever began has its time.
-            self.next_round = self.next_round.max(self.now + ROUND);
+            word => {
+                let prepare = match &word {
+                    Between::Prepare(number) => Some(*number),
+                    _ => None,
+                };
+                self.agree(out, |a, acts| a.take(from, word, acts));
+                if prepare.is_some_and(|number| number == self.agreement.promised()) {
+                    // Whoever began has its time.
+                    self.next_round = self.next_round.max(self.now + ROUND);
+                }
+                self.go_on(out);
+            }
         }
-        self.keep(Then::Say(from.ip, Between::Promise(number, self.epoch.clone())), out);
     }
 
     fn begin_round(&mut self, out: &mut Vec<Output>) {
-        let Some(epoch) = &self.epoch else { return };
-        let round = self.highest.max(self.promised.round) + 1;
-        let number = Number { round, by: self.me.folder };
-        let asked: BTreeSet<Node> = epoch.core.iter().chain(&epoch.before).copied().collect();
-        self.highest = round;
-        self.rounds.0 += 1;
-        if let Some(Leading { holding: Some(_), .. }) = self.leading.take() {
-            log::info!("round {round} while a configuration is on its way");
-        }
-        let step = Step::Preparing(BTreeMap::new());
-        self.round = Some(Round { number, begun: self.now, step, asked: asked.clone() });
-        for node in asked {
-            self.say(node.ip, Between::Prepare(number), out);
-        }
-    }
-
-    fn on_promise(&mut self, from: Node, number: Number, epoch: Option<Epoch>, out: &mut Vec<Output>) {
-        let Some(round) = self.round.as_mut().filter(|r| r.number == number) else { return };
-        let Step::Preparing(promises) = &mut round.step else { return };
-        promises.insert(from, epoch);
-        let newest = promises.values().flatten().max_by_key(|e| e.number);
-        let Some(newest) = newest.cloned() else { return };
-        let more: Vec<Node> =
-            newest.core.iter().chain(&newest.before).copied().filter(|n| !round.asked.contains(n)).collect();
-        let promised = |node: &Node| promises.contains_key(node);
-        let enough = most(&newest.core, promised) && most(&newest.before, promised);
-        let willing: BTreeSet<Node> = promises.keys().copied().collect();
-        round.asked.extend(more.iter().copied());
-        for node in more {
-            self.say(node.ip, Between::Prepare(number), out);
-        }
-        if !enough {
-            return;
+        if self.agreement.is_holding() {
+            log::info!("a round while a configuration is on its way");
         }
-        if !newest.holds(self.me) {
-            // Somebody else has what was answered for.
-            return self.fail_round();
-        }
-        let Some(next) = self.next_epoch(number, &newest, &willing) else { return };
-        let Some(round) = self.round.as_mut() else { return };
-        round.begun = self.now;
-        round.step = Step::Copying(next.clone(), BTreeSet::new());
-        let document = self.document.as_ref().map(|d| Document::clone(d));
-        for node in &next.backups {
-            self.say(node.ip, Between::Copy(number, document.clone()), out);
-        }
-        if next.backups.is_empty() {
-            self.copied_all(out);
+        let mut begun = None;
+        self.agree(out, |a, acts| begun = a.begin(acts));
+        if begun.is_some() {
+            self.rounds.0 += 1;
+            self.round_begun = self.now;
         }
     }
 
@@ -501,12 +392,12 @@
     fn next_epoch(&self, number: Number, newest: &Epoch, willing: &BTreeSet<Node>) -> Option<Epoch> {
         let core = self.next_core(newest);
         let wanted = self.losses.min(core.len().saturating_sub(1));
-        let can = |node: &&Node| **node != self.me && willing.contains(node);
+        let can = |node: &&Node| **node != self.me() && willing.contains(node);
         let mut backups: Vec<Node> = core.iter().filter(can).copied().collect();
         let is_slow = |node: &Node| self.slow.get(&node.ip).is_some_and(|until| self.now < *until);
         backups.sort_by_key(|node| (is_slow(node), !self.hears(*node), !newest.holds(*node), *node));
         backups.truncate(wanted);
-        let primary = Some(self.me);
+        let primary = Some(self.me());
         (backups.len() == wanted).then(|| Epoch {
             number,
             core,
@@ -545,65 +436,14 @@
             Some(heard) => self.now > heard.at + LOST,
             None => self.now > self.started + LOST,
         };
-        node != self.me && silent
-    }
-
-    fn on_copied(&mut self, from: Node, number: Number, out: &mut Vec<Output>) {
-        let Some(round) = self.round.as_mut().filter(|r| r.number == number) else { return };
-        let Step::Copying(epoch, copied) = &mut round.step else { return };
-        copied.insert(from);
-        if epoch.backups.iter().all(|node| copied.contains(node)) {
-            self.copied_all(out);
-        }
-    }
-
-    fn copied_all(&mut self, out: &mut Vec<Output>) {
-        let Some(round) = &mut self.round else { return };
-        let Step::Copying(epoch, _) = &round.step else { return };
-        let epoch = epoch.clone();
-        round.begun = self.now;
-        round.step = Step::Keeping(epoch.clone(), BTreeSet::new());
-        let all: BTreeSet<Node> = epoch.core.iter().chain(&epoch.before).copied().collect();
-        for node in all {
-            self.say(node.ip, Between::Keep(epoch.clone()), out);
-        }
+        node != self.me() && silent
     }
 
-    fn on_kept(&mut self, from: Node, number: Number, out: &mut Vec<Output>) {
-        let Some(round) = self.round.as_mut().filter(|r| r.number == number) else { return };
-        let Step::Keeping(epoch, kept) = &mut round.step else { return };
-        kept.insert(from);
-        let has = |node: &Node| kept.contains(node);
-        if !(most(&epoch.core, has) && most(&epoch.before, has)) {
-            return;
-        }
-        log::info!("primary of round {} with backups {:?}", number.round, epoch.backups);
-        let backups = epoch.backups.clone();
-        (self.round, self.failed_rounds) = (None, 0);
-        self.rounds.1 += 1;
-        self.majority_heard = self.now;
-        self.leading = Some(Leading { number, backups, holding: None });
-        // What is held here is held by all backups, and by nobody who could come after without it.
-        if let Some(document) = self.document.clone() {
-            self.learn_sure(document, out);
-        }
-        self.said = 0;
-        self.ask_again(out);
-        self.go_on(out);
-    }
-
-    fn learn_sure(&mut self, document: Arc<Document>, out: &mut Vec<Output>) {
-        if self.sure.as_ref().is_some_and(|sure| sure.version >= document.version) {
-            return;
-        }
+    fn on_safe(&mut self, document: Arc<Document>, out: &mut Vec<Output>) {
         let version = document.version;
-        self.sure = Some(document.clone());
-        if self.document.as_ref().is_some_and(|d| d.version == version) {
-            self.keep(Then::Nothing, out);
-        }
-        if self.leading.is_some() {
+        if self.agreement.leads().is_some() {
             for ip in self.live() {
-                self.say(ip, Between::Sure(Document::clone(&document)), out);
+                out.push(Output::Send(ip, Between::Sure(Document::clone(&document))));
             }
         }
         out.push(Output::Sure(document));
@@ -638,7 +478,9 @@
     /// An operator asks for the newest configuration.
     pub fn on_read(&mut self, now: Millis, id: u64, out: &mut Vec<Output>) {
         self.nonce += 1;
-        self.on_call(now, id, Asked::Read { nonce: self.nonce, checked: BTreeSet::new() }, out);
+        let nonce = self.nonce;
+        self.on_call(now, id, Asked::Read { nonce }, out);
+        self.agree(out, |a, acts| a.check(nonce, acts));
     }
 
     fn on_call(&mut self, now: Millis, id: u64, asked: Asked, out: &mut Vec<Output>) {
@@ -651,7 +493,6 @@
         }
         self.calls.push(Call { id, asked, until: self.now + CALL });
         self.go_on(out);
-        self.work(out);
     }
 
     /// Does for the calls that wait what can be done.
@@ -663,121 +504,41 @@
             }
             !late
         });
-        let Some(leading) = &self.leading else {
+        if self.agreement.leads().is_none() {
             if let Some((ip, _)) = self.primary.filter(|(_, at)| self.now < *at + HEARD) {
                 self.answer(|_| true, out, |_| Reply::elsewhere(ip));
             }
             return;
-        };
-        let (number, backups) = (leading.number, leading.backups.clone());
+        }
+        if self.agreement.is_holding() {
+            return;
+        }
+        let sure = self.agreement.sure().map(|d| d.version);
+        self.answer(
+            |asked| matches!(asked, Asked::Replace(d) if sure.is_some_and(|sure| d.version <= sure)),
+            out,
+            |_| Reply::done(),
+        );
         // The newest that waits goes first: whatever is below it is overtaken, and answered with it.
         let wanted = self.calls.iter().filter_map(|call| match &call.asked {
             Asked::Replace(document) => Some(document),
             Asked::Read { .. } => None,
         });
-        let newest = wanted.max_by_key(|d| d.version).cloned();
-        let sure = self.sure.as_ref().map(|d| d.version);
-        if leading.holding.is_none() {
-            self.answer(
-                |asked| matches!(asked, Asked::Replace(d) if sure.is_some_and(|sure| d.version <= sure)),
-                out,
-                |_| Reply::done(),
-            );
-            if let Some(document) = newest.filter(|d| sure.is_none_or(|sure| d.version > sure)) {
-                self.hold(document, number, &backups, out);
-            }
-        }
-        let asks: Vec<(u64, Vec<Node>)> = self
-            .calls
-            .iter()
-            .filter_map(|call| match &call.asked {
-                Asked::Read { nonce, checked } if checked.is_empty() => Some((*nonce, backups.clone())),
-                _ => None,
-            })
-            .collect();
-        for (nonce, nodes) in asks {
-            for node in nodes {
-                self.say(node.ip, Between::Check(number, nonce), out);
-            }
-        }
-        self.answer_reads(out);
-    }
-
-    fn hold(&mut self, document: Arc<Document>, number: Number, backups: &[Node], out: &mut Vec<Output>) {
-        let version = document.version;
-        self.document = Some(document.clone());
-        for node in backups {
-            self.say(node.ip, Between::Hold(number, Document::clone(&document)), out);
-        }
-        let holding = Holding { document, held: BTreeSet::new(), since: self.now };
-        if let Some(leading) = &mut self.leading {
-            leading.holding = Some(holding);
-        }
-        self.keep(Then::HeldHere(number, version), out);
-    }
-
-    fn on_held(&mut self, from: Node, number: Number, version: u32, out: &mut Vec<Output>) {
-        let me = self.me;
-        let Some(leading) = self.leading.as_mut().filter(|l| l.number == number) else { return };
-        let Some(holding) = leading.holding.as_mut().filter(|h| h.document.version == version) else {
-            return;
-        };
-        holding.held.insert(from);
-        let all = leading.backups.iter().chain([&me]).all(|node| holding.held.contains(node));
-        if all {
-            let document = holding.document.clone();
-            leading.holding = None;
-            self.learn_sure(document, out);
-            self.go_on(out);
+        if let Some(document) = wanted.max_by_key(|d| d.version).cloned() {
+            self.holding_since = self.now;
+            self.agree(out, |a, acts| a.hold(document, acts));
         }
     }
 
-    /// Calls that wait are begun again in a new epoch.
-    fn ask_again(&mut self, out: &mut Vec<Output>) {
-        let mut nonce = self.nonce;
+    /// Reads that wait are begun again in a new epoch.
+    fn ask_again(&mut self, acts: &mut Vec<Act>) {
         for call in &mut self.calls {
-            if let Asked::Read { nonce: n, checked } = &mut call.asked {
-                nonce += 1;
-                (*n, *checked) = (nonce, BTreeSet::new());
+            if let Asked::Read { nonce } = &mut call.asked {
+                self.nonce += 1;
+                *nonce = self.nonce;
+                self.agreement.check(self.nonce, acts);
             }
         }
-        self.nonce = nonce;
-        // What has been held in the meantime may be enough already.
-        if let Some(sure) = self.sure.as_ref().map(|d| d.version) {
-            self.answer(
-                |asked| matches!(asked, Asked::Replace(d) if d.version <= sure),
-                out,
-                |_| Reply::done(),
-            );
-        }
-    }
-
-    fn on_checked(&mut self, from: Node, number: Number, nonce: u64, out: &mut Vec<Output>) {
-        if self.leading.as_ref().is_none_or(|l| l.number != number) {
-            return;
-        }
-        for call in &mut self.calls {
-            if let Asked::Read { nonce: n, checked } = &mut call.asked {
-                if *n == nonce {
-                    checked.insert(from);
-                }
-            }
-        }
-        self.answer_reads(out);
-    }
-
-    fn answer_reads(&mut self, out: &mut Vec<Output>) {
-        let Some(leading) = &self.leading else { return };
-        let backups = leading.backups.clone();
-        let sure = self.sure.clone();
-        let certain = |asked: &Asked| match asked {
-            Asked::Read { checked, .. } => backups.iter().all(|node| checked.contains(node)),
-            Asked::Replace(_) => false,
-        };
-        self.answer(certain, out, |_| match &sure {
-            Some(document) => Reply::document(document.clone()),
-            None => Reply::fault(Kind::Unknown, "there is no configuration yet"),
-        });
     }
 
     #[allow(clippy::too_many_arguments)] // The fields of one word.
@@ -791,8 +552,8 @@
         others: &[Ipv4Addr],
         out: &mut Vec<Output>,
     ) {
-        let now = self.now;
-        if from.ip == self.me.ip {
+        let (now, me) = (self.now, self.me());
+        if from.ip == me.ip {
             return;
         }
         if self.heard.len() < KNOWN_MAX || self.heard.contains_key(&from.ip) {
@@ -801,29 +562,29 @@
             (heard.node, heard.at, heard.led, heard.sure) = (from, now, led, sure);
         }
         // Those that others hear are dialled too; they are heard once they answer.
-        for ip in others.iter().filter(|ip| **ip != self.me.ip) {
+        for ip in others.iter().filter(|ip| **ip != me.ip) {
             if self.heard.len() < KNOWN_MAX {
                 let node = Node { ip: *ip, folder: 0 };
                 self.heard.entry(*ip).or_insert(Heard { node, at: 0, led: false, sure: None, sure_sent: 0 });
             }
         }
-        let mine = self.epoch.as_ref().map(|e| e.number).unwrap_or_default();
-        self.highest = self.highest.max(epoch.round);
-        if leads && epoch >= mine && epoch >= self.promised {
+        let mine = self.agreement.epoch().map(|e| e.number).unwrap_or_default();
+        self.agreement.learn_round(epoch.round);
+        if leads && epoch >= mine && epoch >= self.agreement.promised() {
             self.primary = Some((from.ip, now));
         } else if self.primary.is_some_and(|(ip, _)| ip == from.ip) {
             self.primary = None;
         }
-        if epoch < mine && (self.leading.is_some() || !led) {
-            if let Some(epoch) = self.epoch.clone().filter(|_| self.leading.is_some()) {
-                self.say(from.ip, Between::Latest(epoch), out);
-            }
+        let tells = self.agreement.leads().is_some();
+        if let Some(epoch) = self.agreement.epoch().filter(|_| tells && epoch < mine) {
+            out.push(Output::Send(from.ip, Between::Latest(epoch.clone())));
         }
-        let behind = self.sure.clone().filter(|mine| sure.is_none_or(|theirs| theirs < mine.version));
-        if let Some(document) = behind.filter(|_| self.leading.is_some() || !led) {
+        let behind =
+            self.agreement.sure().filter(|mine| sure.is_none_or(|theirs| theirs < mine.version)).cloned();
+        if let Some(document) = behind.filter(|_| tells || !led) {
             if let Some(heard) = self.heard.get_mut(&from.ip).filter(|h| now >= h.sure_sent + 2 * HEAR) {
                 heard.sure_sent = now;
-                self.say(from.ip, Between::Sure(Document::clone(&document)), out);
+                out.push(Output::Send(from.ip, Between::Sure(Document::clone(&document))));
             }
         }
     }
@@ -831,54 +592,46 @@
     /// Time passes.
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
-        if self.now >= self.said + HEAR {
-            self.said = self.now;
-            let epoch = self.epoch.as_ref().map(|e| e.number).unwrap_or_default();
-            let (leads, led, others) = (self.leading.is_some(), self.has_primary(), self.live());
-            let sure = self.sure.as_ref().map(|d| d.version);
+        let now = self.now;
+        if now >= self.said + HEAR {
+            self.said = now;
+            let epoch = self.agreement.epoch().map(|e| e.number).unwrap_or_default();
+            let (leads, led, others) = (self.agreement.leads().is_some(), self.has_primary(), self.live());
+            let sure = self.agreement.sure().map(|d| d.version);
             for ip in self.known() {
-                let others = others.clone();
-                self.say(ip, Between::Hear { epoch, leads, led, sure, others }, out);
+                let (others, duties) = (others.clone(), self.duties.mine());
+                out.push(Output::Send(ip, Between::Hear { epoch, leads, led, sure, others, duties }));
             }
         }
-        let kept: BTreeSet<Ipv4Addr> = self
-            .epoch
-            .iter()
-            .flat_map(|e| e.core.iter())
-            .map(|n| n.ip)
-            .chain(self.seeds.iter().copied())
-            .collect();
-        let (now, started) = (self.now, self.started);
+        let core = self.agreement.epoch().into_iter().flat_map(|e| e.core.iter()).map(|n| n.ip);
+        let kept: BTreeSet<Ipv4Addr> = core.chain(self.seeds.iter().copied()).collect();
+        let started = self.started;
         self.heard.retain(|ip, h| kept.contains(ip) || now < h.at.max(started) + FORGET);
         if self.hears_most() {
             self.majority_heard = now;
         }
-        if self.round.as_ref().is_some_and(|r| now > r.begun + ROUND) {
-            self.mark_slow();
-            self.fail_round();
+        if self.agreement.asks().is_some() && now > self.round_begun + ROUND {
+            // Those who did not copy in time are not asked next time, where there are others.
+            let until = now + SLOW_FOR;
+            self.slow.extend(self.agreement.not_copied().into_iter().map(|node| (node.ip, until)));
+            self.agree(out, Agreement::give_up);
         }
-        if self.leading.is_some() {
+        if self.agreement.leads().is_some() {
             self.watch_as_primary(out);
-        } else if self.round.is_none() && !self.leaving {
+        } else if self.agreement.asks().is_none() && !self.leaving {
             self.watch_as_other(out);
         }
+        let may = self.voters().contains(&self.me()) && !self.leaving;
+        for (duty, number) in self.duties.on_tick(now, may && self.hears_most()) {
+            self.keep(After::Ballot(duty, number), out);
+        }
         self.go_on(out);
-        self.work(out);
-    }
-
-    /// Those who did not copy in time are not asked next time, where there are others.
-    fn mark_slow(&mut self) {
-        let Some(Round { step: Step::Copying(epoch, copied), .. }) = &self.round else { return };
-        let slow: Vec<Ipv4Addr> =
-            epoch.backups.iter().filter(|n| !copied.contains(n)).map(|n| n.ip).collect();
-        let until = self.now + SLOW_FOR;
-        self.slow.extend(slow.into_iter().map(|ip| (ip, until)));
     }
 
     fn watch_as_other(&mut self, out: &mut Vec<Output>) {
-        let Some(epoch) = &self.epoch else { return };
+        let Some(epoch) = self.agreement.epoch() else { return };
         if self.has_primary() {
-            let (_, at) = self.primary.unwrap_or((self.me.ip, self.now));
+            let (_, at) = self.primary.unwrap_or((self.me().ip, self.now));
             // Drawn anew once there is one, so that those who miss it do not all begin at once.
             if self.now < at + HEAR {
                 self.suspect_after = self.rng.u64(SUSPECT.0..SUSPECT.1);
@@ -886,13 +639,14 @@
             return;
         }
         let since = self.primary.map_or(self.started, |(_, at)| at);
-        if !epoch.holds(self.me) || self.now < since + self.suspect_after || self.now < self.next_round {
+        let me = self.me();
+        if !epoch.holds(me) || self.now < since + self.suspect_after || self.now < self.next_round {
             return;
         }
         // Most of the core must miss a primary: one that hears nobody, or is alone in not hearing it, waits.
         let misses = |node: &Node| {
             let missing = |h: &Heard| h.node == *node && !h.led && self.now < h.at + HEARD;
-            *node == self.me || self.heard.get(&node.ip).is_some_and(missing)
+            *node == me || self.heard.get(&node.ip).is_some_and(missing)
         };
         if most(&epoch.core, misses) {
             self.begin_round(out);
@@ -901,34 +655,28 @@
 
     fn watch_as_primary(&mut self, out: &mut Vec<Output>) {
         let now = self.now;
-        let Some(leading) = &self.leading else { return };
+        let Some((number, backups)) = self.agreement.leads() else { return };
+        let backups = backups.to_vec();
         if now > self.majority_heard + ALONE {
-            log::info!("no longer primary: most of the core is not heard");
-            self.leading = None;
-            return;
+            log::info!("most of the core is not heard");
+            return self.agree(out, Agreement::depose);
         }
         if self.ticket > self.written && now > self.writing_since + DISK {
-            log::info!("no longer primary: the disk does not answer");
-            let (number, backups) = (leading.number, leading.backups.clone());
-            self.leading = None;
+            log::info!("the disk does not answer");
             self.next_round = now + SLOW_FOR;
+            self.agree(out, Agreement::depose);
             for node in backups {
-                self.say(node.ip, Between::HandOver(number), out);
+                out.push(Output::Send(node.ip, Between::HandOver(number)));
             }
             return;
         }
-        let Some(epoch) = &self.epoch else { return };
-        let late: Vec<Ipv4Addr> = match &leading.holding {
-            Some(h) if now > h.since + SLOW => {
-                leading.backups.iter().filter(|n| !h.held.contains(n)).map(|n| n.ip).collect()
-            }
-            _ => Vec::new(),
-        };
-        let silent = leading.backups.iter().any(|node| !self.hears(*node));
+        let Some(epoch) = self.agreement.epoch() else { return };
+        let late = if now > self.holding_since + SLOW { self.agreement.late() } else { Vec::new() };
+        let silent = backups.iter().any(|node| !self.hears(*node));
         let unsettled = epoch.core != epoch.before || self.next_core(epoch) != epoch.core;
         let until = now + SLOW_FOR;
         let any_late = !late.is_empty();
-        self.slow.extend(late.into_iter().map(|ip| (ip, until)));
+        self.slow.extend(late.into_iter().map(|node| (node.ip, until)));
         if (silent || any_late || unsettled) && now >= self.next_round && self.hears_most() {
             self.begin_round(out);
         }
@@ -940,16 +688,17 @@
         if std::mem::replace(&mut self.leaving, true) {
             return;
         }
-        self.round = None;
-        if let Some(leading) = &self.leading {
-            let (number, first) = (leading.number, leading.backups.first().copied());
-            if leading.holding.is_none() {
-                self.leading = None;
+        self.agree(out, Agreement::give_up);
+        self.duties.lay_down();
+        if let Some((number, backups)) = self.agreement.leads() {
+            let first = backups.first().copied();
+            if !self.agreement.is_holding() {
+                self.agree(out, Agreement::depose);
             }
             if let Some(node) = first {
-                self.say(node.ip, Between::HandOver(number), out);
+                out.push(Output::Send(node.ip, Between::HandOver(number)));
             }
         }
-        self.work(out);
+        self.said = 0;
     }
 }
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -4,8 +4,10 @@
 //! markers, and pushes both to the gatekeepers that hold sessions with it. [`state`] joins the parts, which are state
 //! machines without input or output of their own; [`run`] joins them to sockets, disk and signals.
 
+pub mod agreement;
 pub mod calls;
 pub mod core;
+pub mod duties;
 pub mod parts;
 pub mod registry;
 pub mod run;
--- a/crates/marker/src/parts.rs
+++ b/crates/marker/src/parts.rs
@@ -1,9 +1,13 @@
 //! What the parts of a marker share: what they keep, return and answer.
 
 use plugboard::kinds::Kind;
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Between, Document, Down, Epoch, Instance, Node, Number};
+use trunk::words::{Between, Document, Down, Duty, Epoch, Instance, Node, Number};
+
+/// Points in time and spans, ms of a clock that never goes back.
+pub type Millis = u64;
 
 /// What has to last.
 #[derive(Clone, Debug, PartialEq)]
@@ -12,12 +16,16 @@
     pub node: Node,
     /// No epoch below this one is kept any more.
     pub promised: Number,
+    /// The round whose copy was taken in last.
+    pub copied: Number,
     /// The newest epoch that was kept.
     pub epoch: Option<Epoch>,
     /// The configuration that is held.
     pub document: Option<Arc<Document>>,
     /// The newest version that is known to be safe from loss.
     pub sure: Option<u32>,
+    /// Nothing of a lower number is taken from the holder of a duty.
+    pub ballots: BTreeMap<Duty, Number>,
 }
 
 /// An answer to a call of a server or an operator.
--- a/crates/marker/src/registry.rs
+++ b/crates/marker/src/registry.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use trunk::words::{Instance, State};
 
-use crate::core::Millis;
+use crate::parts::Millis;
 
 /// Beats that may be missed before a server counts as gone, and the time on top.
 const MISSED: (u64, Millis) = (4, 2_000);
--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -1,8 +1,8 @@
 //! What joins a marker's state machine to sockets, disk and signals.
 
 use crate::calls;
-use crate::core::{self, Core, Millis};
-use crate::parts::{Output, Reply, SessionId};
+use crate::core::{self, Core};
+use crate::parts::{Millis, Output, Reply, SessionId};
 use crate::state::Marker;
 use crate::store::{self, Job, Store};
 use granitelead_base::Backoff;
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -1,7 +1,6 @@
 //! Sessions of gatekeepers: who is a member, what each was told, and what waits until all know it.
 
-use crate::core::Millis;
-use crate::parts::{Output, SessionId};
+use crate::parts::{Millis, Output, SessionId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -1,7 +1,7 @@
 //! One marker as a state machine: calls, words and ticks come in; what to send, write and answer goes out.
 
-use crate::core::{Core, Millis, View};
-use crate::parts::{Output, Reply, SessionId};
+use crate::core::{Core, View};
+use crate::parts::{Millis, Output, Reply, SessionId};
 use crate::registry::{self, Registry};
 use crate::sessions::{Sessions, Waiter};
 use crate::tally::Tally;
--- a/crates/marker/src/store.rs
+++ b/crates/marker/src/store.rs
@@ -136,9 +136,12 @@
         // What there may be none of is kept as such.
         let epoch = self.get::<Option<Epoch>>("epoch")?.flatten();
         let sure = self.get::<Option<u32>>("sure")?.flatten();
+        // Not kept by the first programs of this form.
+        let copied = self.get("copied")?.unwrap_or_default();
+        let ballots = self.get("ballots")?.unwrap_or_default();
         let document = self.get::<Option<Document>>("document")?.flatten();
         self.document = document.map(Arc::new);
-        Ok(Some(Keeping { node, promised, epoch, document: self.document.clone(), sure }))
+        Ok(Some(Keeping { node, promised, copied, epoch, document: self.document.clone(), sure, ballots }))
     }
 
     /// The servers that were known last.
@@ -184,6 +187,8 @@
                 change.prepare_cached("INSERT OR REPLACE INTO kept (name, value) VALUES (?1, ?2)")?;
             put.execute(params!["node", bytes(&keeping.node)])?;
             put.execute(params!["promised", bytes(&keeping.promised)])?;
+            put.execute(params!["copied", bytes(&keeping.copied)])?;
+            put.execute(params!["ballots", bytes(&keeping.ballots)])?;
             put.execute(params!["epoch", bytes(&keeping.epoch)])?;
             put.execute(params!["sure", bytes(&keeping.sure)])?;
             if !same {
--- a/crates/marker/src/tally.rs
+++ b/crates/marker/src/tally.rs
@@ -4,8 +4,7 @@
 //! last looked, and holds that against its own clock: no clock is shared, and a marker that starts again begins at 0
 //! without harm.
 
-use crate::core::Millis;
-use crate::parts::SessionId;
+use crate::parts::{Millis, SessionId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Tenants that are counted at once.
--- a/crates/trunk/src/words.rs
+++ b/crates/trunk/src/words.rs
@@ -21,8 +21,15 @@
     pub by: u64,
 }
 
+/// What one marker does for all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Duty {
+    /// Says that a server whose beats have stopped is gone.
+    Reaper,
+}
+
 /// Who keeps what, until a higher epoch is kept by a majority.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Epoch {
     /// Its number.
     pub number: Number,
@@ -44,7 +51,7 @@
 }
 
 /// A configuration as it was sent, with its number.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Document {
     /// Its version.
     pub version: u32,
@@ -95,7 +102,7 @@
 }
 
 /// One life of a server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Instance {
     /// The name of this life.
     pub id: String,
@@ -118,7 +125,7 @@
 }
 
 /// What markers say to each other. Each goes out on a connection of its sender's.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Between {
     /// Said again and again to all.
     Hear {
@@ -132,6 +139,8 @@
         sure: Option<u32>,
         /// All markers that the sender hears.
         others: Vec<Ipv4Addr>,
+        /// The duties that the sender holds, with their numbers.
+        duties: Vec<(Duty, Number)>,
     },
     /// Asks to keep no epoch below this one from now on.
     Prepare(Number),
@@ -161,6 +170,12 @@
     Latest(Epoch),
     /// The primary leaves: the one who is told begins a round.
     HandOver(Number),
+    /// Asks for a vote: a duty under this number. Whoever votes takes nothing of a lower number any more.
+    Ballot(Duty, Number),
+    /// That is promised, on disk.
+    Vote(Duty, Number),
+    /// The holder of a duty, under its number, ends servers that nobody hears; answered as [`Between::Servers`].
+    Reaped(Number, u64, Vec<Instance>),
     /// What has changed of servers; answered by [`Between::Told`] where the ticket is not 0.
     Servers(u64, Vec<Instance>),
     /// All gatekeepers with a session at the sender know it.
