Hand over missed ends of servers; one marker ends silent ones, under a number

A marker that was cut off while a server deregistered went on listing it: what is told when a line comes up names only those that live. And a gatekeeper that came back after the 30 s for which ends are remembered named a server whose address another one has by now: the marker took the new one for ended, until its next beat, and told everybody.

Whoever names a server that is no more is told so and changes nothing. Servers that fell silent are ended by one marker, the reaper: won by ballots on disk, held while most of the core is heard, its number on every word, refused when a higher one was promised. `/System.Status` names duties, holders, numbers and what repair keeps.

Each test fails without its code: no handing over, no refusal of old names.

--- a/crates/crossbar/tests/timelines.rs
+++ b/crates/crossbar/tests/timelines.rs
@@ -1,19 +1,21 @@
 //! Markers and gatekeepers together on timelines: a column for each, time downwards. Nothing sleeps.
 //!
 //! Cells: `up`, `kill` (ends the process; its peers see it), `power` (they don't), `cut` and `join` (from and to all
-//! markers; of a marker, from and to the others). Cells of what happens outside: `put 7` sends a configuration,
+//! markers; of a marker, from and to the others; `back` where only the others' lines to it broke). Cells of what happens outside: `put 7` sends a configuration,
 //! `beat s1`, `drain s1`, `leave s1` are calls of a server at the first marker that is up, `load 40` lets 40 requests a
-//! second come to each gatekeeper. What must hold: `have 7` and `know 2` (servers that may get something new) at all
-//! gatekeepers that are up and not cut off, `touch` that these hear their homes, `answered s1` and `waits s1` of a server's last call.
+//! second come to each gatekeeper; `keep s1` has it beat on its own until `dies s1`. What must hold: `have 7` and `know 2` (servers that may get something new) at all
+//! gatekeepers that are up and not cut off, `touch` that these hear their homes, `lists m1 2` how many servers a marker knows, `reaper m1` whose duty that is by all
+//! markers that are not cut off, `answered s1` and `waits s1` of a server's last call.
 
 use crossbar::control::Control;
 use crossbar::gate::Gate;
 use googletest::prelude::*;
 use marker::core::{begin, Core};
-use marker::parts::{Keeping, Output};
+use marker::parts::{Keeping, Output, Reply};
 use marker::state::{Call, Marker};
 use plugboard::configuration::Tenant;
 use plugboard::settings::Bounds;
+use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -57,6 +59,8 @@
     refused: usize,
     calls: BTreeMap<u64, String>,
     sequence: u64,
+    /// Servers that beat on their own.
+    beats: BTreeSet<String>,
     rng: fastrand::Rng,
 }
 
@@ -102,6 +106,7 @@
             refused: 0,
             calls: BTreeMap::new(),
             sequence: 0,
+            beats: BTreeSet::new(),
             rng: fastrand::Rng::with_seed(11),
         }
     }
@@ -125,6 +130,7 @@
                 let core = Core::new(keeping, &seeds, 1, seed, self.now);
                 board.marker = Some(Marker::new(core, format!("zone-{n}"), 1_500, Vec::new()));
                 board.start += 1;
+                self.lines(n, true);
             }
             (None, "kill") => {
                 (self.boards[n].marker, self.boards[n].start) = (None, self.boards[n].start + 1);
@@ -134,7 +140,11 @@
             (None, "power") => {
                 (self.boards[n].marker, self.boards[n].start) = (None, self.boards[n].start + 1)
             }
-            (None, "cut" | "join") => self.boards[n].cut = what == "cut",
+            (None, "cut") => self.boards[n].cut = true,
+            (None, "join" | "back") => {
+                self.boards[n].cut = false;
+                self.lines(n, what == "join");
+            }
             (Some(g), "up") => {
                 let (seeds, seed) = (self.seeds(), self.rng.u64(..));
                 let zone = format!("zone-{}", g % self.boards.len());
@@ -299,6 +309,31 @@
         }
     }
 
+    /// The lines of all other markers to one come up anew, and its own to them where it is `both`.
+    fn lines(&mut self, n: usize, both: bool) {
+        for other in (0..self.boards.len()).filter(|other| *other != n) {
+            for (from, to) in [(n, other), (other, n)].into_iter().skip(usize::from(!both)) {
+                let ip = self.boards[to].ip;
+                if self.boards[to].marker.is_some() {
+                    self.step(from, |marker, _, out| marker.on_line(ip, false, out));
+                    self.step(from, |marker, _, out| marker.on_line(ip, true, out));
+                }
+            }
+        }
+    }
+
+    /// How things are, as a marker says.
+    fn status(&mut self, name: &str) -> Value {
+        let n: usize = name.trim_start_matches('m').parse().unwrap();
+        let (now, mut out) = (self.now, Vec::new());
+        self.boards[n - 1].marker.as_mut().unwrap().on_call(now, 0, Call::Status, &mut out);
+        let text = out.into_iter().find_map(|output| match output {
+            Output::Answer(0, Reply::Json(text)) => Some(text),
+            _ => None,
+        });
+        serde_json::from_str(&text.unwrap()).unwrap()
+    }
+
     fn run(&mut self, until: u64) {
         while self.now < until {
             while let Some(((at, _), _)) = self.events.first_key_value() {
@@ -312,6 +347,10 @@
                 (0..self.boards.len())
                     .for_each(|n| self.step(n, |marker, now, out| marker.on_tick(now, out)));
             }
+            if self.now.is_multiple_of(1_500) {
+                let beats: Vec<String> = self.beats.iter().cloned().collect();
+                beats.iter().for_each(|id| self.beat(id, "ready"));
+            }
             for g in 0..self.columns.len() {
                 if self.now % 50 == g as u64 % 50 {
                     self.tick(g);
@@ -352,6 +391,26 @@
                 self.call("operator", Call::Replace { body });
             }
             ["beat", id] => self.beat(id, "ready"),
+            ["keep", id] => {
+                self.beats.insert((*id).into());
+                self.beat(id, "ready");
+            }
+            ["dies", id] => drop(self.beats.remove(*id)),
+            ["lists", name, n] => {
+                let servers = self.status(name)["servers"].as_u64();
+                assert_eq!(servers, Some(n.parse().unwrap()), "{name} at {}", self.now);
+            }
+            ["reaper", name] => {
+                let n: usize = name.trim_start_matches('m').parse().unwrap();
+                let ip = self.boards[n - 1].ip.to_string();
+                for n in 0..self.boards.len() {
+                    if self.boards[n].marker.is_none() || self.boards[n].cut {
+                        continue;
+                    }
+                    let duties = self.status(&format!("m{}", n + 1))["duties"].clone();
+                    assert_eq!(duties["reaper"]["holder"], *ip, "m{} at {}: {duties}", n + 1, self.now);
+                }
+            }
             ["drain", id] => self.beat(id, "draining"),
             ["leave", id] => self.call(id, Call::Leave { id: (*id).into() }),
             ["load", load] => self.load = load.parse().unwrap(),
@@ -493,6 +552,59 @@
          0     | up | up | up | up | up | up | up | up | up | up |
          2000  |    |    |    |    |    |    |    |    |    |    | load 9";
 
+#[gtest]
+fn a_marker_that_missed_the_end_of_a_server_has_it_handed_over() {
+    play(
+        "ms   | m1 | m2 | m3   | g1 | outside
+         0    | up | up | up   | up |
+         1000 |    |    |      |    | keep s1
+         1000 |    |    |      |    | keep s2
+         1500 |    |    | cut  |    | lists m3 2
+         1600 |    |    |      |    | dies s1
+         1600 |    |    |      |    | leave s1
+         4000 |    |    |      |    | lists m1 1
+         4000 |    |    | back |    | lists m3 2
+         4200 |    |    |      |    | lists m3 1
+         4200 |    |    |      |    | know 1",
+    );
+}
+
+#[gtest]
+fn whoever_was_away_does_not_bring_back_a_server_whose_address_is_anothers() {
+    play(
+        "ms    | m1 | m2 | m3 | g1   | g2 | outside
+         0     | up | up | up | up   | up |
+         1000  |    |    |    |      |    | keep s1
+         1500  |    |    |    | cut  |    | know 1
+         1600  |    |    |    |      |    | dies s1
+         3600  |    |    |    |      |    | keep ss1
+         3700  |    |    |    |      |    | know 1
+         40000 |    |    |    | join |    | lists m1 1
+         42000 |    |    |    |      |    | know 1
+         42000 |    |    |    |      |    | lists m1 1",
+    );
+}
+
+#[gtest]
+fn the_duty_to_end_silent_servers_passes_on_and_is_never_done_by_one_that_is_cut_off() {
+    play(
+        "ms    | m1   | m2 | m3 | g1 | outside
+         0     | up   | up | up | up |
+         1000  |      |    |    |    | keep s1
+         1000  |      |    |    |    | keep s2
+         3000  |      |    |    |    | reaper m3
+         4000  |      |    | cut |   | dies s2
+         7000  |      |    |    |    | reaper m1
+         14000 |      |    |    |    | lists m3 2
+         14000 |      |    |    |    | lists m1 1
+         14000 |      |    | join |  |
+         15000 |      |    |    |    | reaper m1
+         15000 |      |    |    |    | lists m3 1
+         15000 | kill |    |    |    | know 1
+         18000 |      |    |    |    | reaper m2",
+    );
+}
+
 #[gtest]
 fn in_calm_times_nothing_inside_a_quota_is_refused() {
     let mut world = play(CALM);
--- a/crates/marker/src/duties.rs
+++ b/crates/marker/src/duties.rs
@@ -194,3 +194,62 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use googletest::prelude::*;
+
+    const D: Duty = Duty::Reaper;
+
+    fn nodes() -> Vec<Node> {
+        (1..=3).map(|n| Node { ip: [10, 0, 0, n].into(), folder: u64::from(n) }).collect()
+    }
+
+    fn duties(node: Node) -> Duties {
+        Duties::new(node, BTreeMap::new(), node.folder, 0)
+    }
+
+    /// Two win their first ballots; only the one with the higher number is left, and a majority refuses the other.
+    #[gtest]
+    fn of_two_that_win_at_once_one_is_left_and_the_other_can_do_nothing() {
+        let core = nodes();
+        let (mut a, mut b, mut c) = (duties(core[0]), duties(core[1]), duties(core[2]));
+        let (first, second) = (a.on_tick(1_400, true)[0].1, b.on_tick(1_400, true)[0].1);
+        expect_that!((first.round, second.round), eq((1, 1)));
+        a.on_vote(1_410, core[0], D, first, &core);
+        b.on_vote(1_410, core[1], D, second, &core);
+        expect_true!(c.on_ballot(1_410, core[0], D, first) && c.on_ballot(1_411, core[1], D, second));
+        a.on_vote(1_420, core[2], D, first, &core);
+        b.on_vote(1_420, core[2], D, second, &core);
+        expect_that!((a.held(D), b.held(D)), eq((Some(first), Some(second))));
+        expect_false!(c.allows(D, first) || b.allows(D, first));
+        expect_true!(c.allows(D, second));
+        a.on_hear(1_570, core[1], &b.mine());
+        expect_that!(a.held(D), none());
+        // Nobody asks again while the holder is heard, and the next number is higher.
+        expect_true!(a.on_tick(2_200, true).is_empty());
+        expect_false!(
+            c.on_ballot(1_600, core[0], D, Number { round: 9, by: 1 }) && c.holders(1_600).is_empty()
+        );
+        expect_that!(a.on_tick(4_000, true)[0].1, gt(second));
+    }
+
+    #[gtest]
+    fn whoever_was_frozen_or_started_again_takes_nothing_older_than_it_promised() {
+        let core = nodes();
+        let (mut a, mut b) = (duties(core[0]), duties(core[1]));
+        let first = a.on_tick(1_400, true)[0].1;
+        a.on_vote(1_410, core[0], D, first, &core);
+        a.on_vote(1_410, core[2], D, first, &core);
+        // It froze: meanwhile the next one was promised here, on disk, and here is started again.
+        let second = Number { round: 2, by: 3 };
+        expect_true!(b.on_ballot(9_000, core[2], D, second));
+        let mut b = Duties::new(core[1], b.ballots().clone(), 5, 0);
+        expect_false!(b.allows(D, first));
+        // It hears nobody when it wakes, and lays the duty down.
+        expect_that!(a.held(D), some(eq(first)));
+        a.on_tick(9_500, false);
+        expect_that!(a.held(D), none());
+    }
+}
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod duties;
 pub mod parts;
 pub mod registry;
+pub mod repair;
 pub mod run;
 pub mod sessions;
 pub mod state;
--- a/crates/marker/src/registry.rs
+++ b/crates/marker/src/registry.rs
@@ -15,6 +15,8 @@
 const MISSED: (u64, Millis) = (4, 2_000);
 /// Lives that are gone are remembered for so long, so that late words about them change nothing.
 const REMEMBER: Millis = 30_000;
+/// A server counts as heard for one beat and so long: those that beat at other markers are told of a little later.
+const FRESH: Millis = 1_000;
 /// Servers that are known at once.
 pub const SERVERS_MAX: usize = 20_000;
 /// Bytes of each text that a server gives.
@@ -25,6 +27,15 @@
     at: Millis,
 }
 
+/// What a word that is told on comes to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Learnt {
+    /// What has changed here, if anything.
+    News(Vec<Instance>),
+    /// The server is no more, and whoever told does not know.
+    Ended(Instance),
+}
+
 /// All servers that a marker knows.
 pub struct Registry {
     entries: BTreeMap<String, Entry>,
@@ -162,20 +173,50 @@
         self.entries.values().map(|e| &e.instance).filter(|i| i.state != State::Gone).cloned().collect()
     }
 
-    /// Servers whose beats have stopped are gone, unless `deaf`: then it may be the beats that don't get here.
-    pub fn on_tick(&mut self, now: Millis, deaf: bool) -> Vec<Instance> {
-        let silent = MISSED.0 * self.beat + MISSED.1;
-        let mut changed = Vec::new();
-        for entry in self.entries.values_mut().filter(|e| e.instance.state != State::Gone) {
-            if deaf {
-                entry.at = entry.at.max(now.saturating_sub(silent / 2));
-            } else if now > entry.at + silent {
-                (entry.instance.state, entry.at) = (State::Gone, now);
-                changed.push(entry.instance.clone());
-            }
+    /// All that have ended lately.
+    pub fn ended(&self) -> Vec<Instance> {
+        self.entries.values().map(|e| &e.instance).filter(|i| i.state == State::Gone).cloned().collect()
+    }
+
+    /// Takes in a word that is told on by somebody who may have been away for long.
+    pub fn learn(&mut self, now: Millis, word: Instance) -> Learnt {
+        let known = self.entries.get(&word.id).map(|e| &e.instance);
+        let ended = known.is_some_and(|k| k.state == State::Gone && !is_newer(&word, k));
+        // What is only remembered from before this start was not heard.
+        let fresh = self.beat + FRESH;
+        let taken = |e: &Entry| {
+            let other = e.instance.id != word.id && e.instance.state != State::Gone;
+            other && e.instance.address == word.address && e.at > 0 && now < e.at + fresh
+        };
+        if word.state != State::Gone && (ended || known.is_none() && self.entries.values().any(taken)) {
+            let end = known.filter(|_| ended).cloned();
+            return Learnt::Ended(end.unwrap_or(Instance { state: State::Gone, ..word }));
+        }
+        Learnt::News(self.take(now, word))
+    }
+
+    /// Time passes; `deaf` says that beats may come elsewhere and not be told of here.
+    pub fn on_tick(&mut self, now: Millis, deaf: bool) {
+        let half = self.silence() / 2;
+        for entry in self.entries.values_mut().filter(|e| deaf && e.instance.state != State::Gone) {
+            entry.at = entry.at.max(now.saturating_sub(half));
         }
         self.entries.retain(|_, e| e.instance.state != State::Gone || now < e.at + REMEMBER);
-        changed
+    }
+
+    fn silence(&self) -> Millis {
+        MISSED.0 * self.beat + MISSED.1
+    }
+
+    /// Ends the servers whose beats have stopped. Gives them.
+    pub fn reap(&mut self, now: Millis) -> Vec<Instance> {
+        let silence = self.silence();
+        let silent = |e: &&mut Entry| e.instance.state != State::Gone && now > e.at + silence;
+        let ends = self.entries.values_mut().filter(silent).map(|entry| {
+            (entry.instance.state, entry.at) = (State::Gone, now);
+            entry.instance.clone()
+        });
+        ends.collect()
     }
 }
 
@@ -218,8 +259,9 @@
         registry.on_beat(0, server("x", 1, State::Ready));
         registry.on_beat(0, server("xx", 1, State::Ready));
         expect_that!(registry.on_alive(7_000, &[("xx".into(), 5)]).len(), eq(0));
-        expect_that!(registry.on_tick(8_001, true).len(), eq(0));
-        expect_that!(registry.on_tick(12_002, false)[0].id, eq("x"));
+        registry.on_tick(8_001, true);
+        expect_that!(registry.reap(8_001).len(), eq(0));
+        expect_that!(registry.reap(12_002)[0].id, eq("x"));
         expect_that!(registry.all().len(), eq(1));
         expect_that!(registry.on_alive(13_000, &[("x".into(), 9)])[0].state, eq(State::Ready));
         expect_that!(registry.all().len(), eq(2));
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -160,6 +160,12 @@
         self.ticket
     }
 
+    /// A ticket under which another marker says that it has something, where nobody waits for it.
+    pub fn ticket(&mut self) -> u64 {
+        self.ticket += 1;
+        self.ticket
+    }
+
     /// All gatekeepers of another marker know what it was told under this ticket.
     pub fn on_told(&mut self, from: Ipv4Addr, ticket: u64) {
         for wait in self.waits.iter_mut().filter(|wait| wait.ticket == ticket) {
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -2,14 +2,15 @@
 
 use crate::core::{Core, View};
 use crate::parts::{Millis, Output, Reply, SessionId};
-use crate::registry::{self, Registry};
+use crate::registry::{self, Learnt, Registry};
+use crate::repair::Repair;
 use crate::sessions::{Sessions, Waiter};
 use crate::tally::Tally;
 use plugboard::configuration;
 use plugboard::kinds::Kind;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
-use trunk::words::{Between, Document, Down, Instance, News, Node, State, Up};
+use trunk::words::{Between, Document, Down, Duty, Instance, News, Node, State, Up};
 
 /// How often totals go out, and what servers have beaten here.
 const TOTALS: Millis = 50;
@@ -50,6 +51,7 @@
     zone: String,
     registry: Registry,
     sessions: Sessions,
+    repair: Repair,
     tally: Tally,
     peers: BTreeMap<Ipv4Addr, Peer>,
     /// Gatekeepers that were members lately, by name.
@@ -104,6 +106,7 @@
             zone,
             registry,
             sessions: Sessions::default(),
+            repair: Repair::default(),
             tally: Tally::default(),
             peers: BTreeMap::new(),
             members: BTreeMap::new(),
@@ -194,11 +197,58 @@
             out.push(Output::Answer(id, reply));
             0
         };
-        if !changed.is_empty() {
-            for ip in self.core.known() {
-                out.push(Output::Send(ip, Between::Servers(ticket, changed.clone())));
+        self.pass_on(now, changed, ticket, out);
+    }
+
+    /// Tells the other markers what has changed of servers. Who is no more is kept for those that can't be told now.
+    fn pass_on(&mut self, now: Millis, changed: Vec<Instance>, ticket: u64, out: &mut Vec<Output>) {
+        if changed.is_empty() {
+            return;
+        }
+        let ended: Vec<Instance> = changed.iter().filter(|i| i.state == State::Gone).cloned().collect();
+        let ticket = if ticket == 0 && !ended.is_empty() { self.sessions.ticket() } else { ticket };
+        for ip in self.core.known() {
+            self.repair.owe(now, ip, &ended, ticket);
+            out.push(Output::Send(ip, Between::Servers(ticket, changed.clone())));
+        }
+    }
+
+    /// Hands over to a marker the next part of what it missed.
+    fn hand_over(&mut self, ip: Ipv4Addr, out: &mut Vec<Output>) {
+        let ticket = self.sessions.ticket();
+        let part = self.repair.part(ip, ticket);
+        if !part.is_empty() {
+            out.push(Output::Send(ip, Between::Servers(ticket, part)));
+        }
+    }
+
+    /// Takes in what another marker tells of servers, and says when all here know it.
+    fn take_servers(
+        &mut self,
+        now: Millis,
+        from: Ipv4Addr,
+        ticket: u64,
+        servers: Vec<Instance>,
+        out: &mut Vec<Output>,
+    ) {
+        let (mut changed, mut ended) = (Vec::new(), Vec::new());
+        for server in servers {
+            match self.registry.learn(now, server) {
+                Learnt::News(news) => changed.extend(news),
+                Learnt::Ended(end) => ended.push(end),
             }
         }
+        if !changed.is_empty() {
+            self.tell_servers(changed, out);
+        }
+        if !ended.is_empty() {
+            let ticket = self.sessions.ticket();
+            self.repair.owe(now, from, &ended, ticket);
+            out.push(Output::Send(from, Between::Servers(ticket, ended)));
+        }
+        if ticket > 0 {
+            self.sessions.wait(now, Waiter::Marker(from, ticket), &[]);
+        }
     }
 
     fn tell_servers(&mut self, changed: Vec<Instance>, out: &mut Vec<Output>) {
@@ -210,17 +260,20 @@
     pub fn on_word(&mut self, now: Millis, from: Node, word: Between, out: &mut Vec<Output>) {
         self.peers.entry(from.ip).or_default().heard = now;
         match word {
-            Between::Servers(ticket, servers) => {
-                let changed: Vec<Instance> =
-                    servers.into_iter().flat_map(|server| self.registry.take(now, server)).collect();
-                if !changed.is_empty() {
-                    self.tell_servers(changed, out);
+            Between::Servers(ticket, servers) => self.take_servers(now, from.ip, ticket, servers, out),
+            Between::Reaped(number, ticket, servers) => {
+                if self.core.allows(Duty::Reaper, number) {
+                    self.take_servers(now, from.ip, ticket, servers, out);
+                } else {
+                    log::info!("{} reaps under number {}, which is over", from.ip, number.round);
                 }
-                if ticket > 0 {
-                    self.sessions.wait(now, Waiter::Marker(from.ip, ticket), &[]);
+            }
+            Between::Told(ticket) => {
+                self.sessions.on_told(from.ip, ticket);
+                if self.repair.told(from.ip, ticket) {
+                    self.hand_over(from.ip, out);
                 }
             }
-            Between::Told(ticket) => self.sessions.on_told(from.ip, ticket),
             Between::Alive(lives) => {
                 let changed = self.registry.on_alive(now, &lives);
                 if !changed.is_empty() {
@@ -246,13 +299,17 @@
     /// A connection to another marker is up, or down.
     pub fn on_line(&mut self, ip: Ipv4Addr, up: bool, out: &mut Vec<Output>) {
         let peer = self.peers.entry(ip).or_default();
-        if up && !peer.greeted {
+        let greets = up && !peer.greeted;
+        peer.greeted = up;
+        if greets {
+            // Who is no more comes first: its address may be another's by now.
+            self.repair.back(ip);
+            self.hand_over(ip, out);
             let all = self.registry.all();
             if !all.is_empty() {
                 out.push(Output::Send(ip, Between::Servers(0, all)));
             }
         }
-        peer.greeted = up;
     }
 
     /// A gatekeeper says something.
@@ -260,9 +317,13 @@
         match word {
             Up::Hello { life, name, has, servers } => {
                 // What it knows may be more than is known here, after a start of all.
-                let mut changed = Vec::new();
+                let (mut changed, mut ended) = (Vec::new(), Vec::new());
                 for server in servers {
-                    changed.extend(self.registry.take(now, server));
+                    match self.registry.learn(now, server) {
+                        Learnt::News(news) => changed.extend(news),
+                        // It missed the end.
+                        Learnt::Ended(end) => ended.push(end),
+                    }
                 }
                 if !changed.is_empty() {
                     self.tell_servers(changed, out);
@@ -280,6 +341,9 @@
                     &self.zone,
                     out,
                 );
+                if !ended.is_empty() {
+                    self.sessions.tell(session, News::Servers(ended), out);
+                }
                 if now >= KNOWS {
                     let (all, missed) = self.told_members;
                     self.sessions.tell(session, News::Gatekeepers(all, missed), out);
@@ -330,10 +394,8 @@
     /// Time passes.
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.core.on_tick(now, out);
-        let gone = self.registry.on_tick(now, !self.core.hears_most());
-        if !gone.is_empty() {
-            self.tell_servers(gone, out);
-        }
+        self.registry.on_tick(now, !self.core.hears_most());
+        self.reap(now, out);
         let peers: Vec<Ipv4Addr> = self.core.live();
         if now >= self.totals_at + TOTALS {
             self.totals_at = now;
@@ -359,6 +421,8 @@
         }
         if now >= self.sessions_at + SESSIONS {
             self.sessions_at = now;
+            let known = self.core.known();
+            self.repair.sweep(now, |ip| known.contains(ip));
             let here = self.sessions.names(now, &self.tally.lives());
             self.take_members(now, self.core.me().ip, here.clone());
             if here != self.told_here || now >= self.here_at + HERE {
@@ -389,6 +453,21 @@
         self.after(now, out);
     }
 
+    /// Ends the servers whose beats have stopped, where that is this marker's duty.
+    fn reap(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let Some(number) = self.core.holds(Duty::Reaper) else { return };
+        let ended = self.registry.reap(now);
+        if ended.is_empty() {
+            return;
+        }
+        self.tell_servers(ended.clone(), out);
+        let ticket = self.sessions.ticket();
+        for ip in self.core.known() {
+            self.repair.owe(now, ip, &ended, ticket);
+            out.push(Output::Send(ip, Between::Reaped(number, ticket, ended.clone())));
+        }
+    }
+
     /// A marker names all gatekeepers whose home it is: others whose home it was are heard no more.
     fn take_members(&mut self, now: Millis, home: Ipv4Addr, names: Vec<String>) {
         let nobody = Ipv4Addr::UNSPECIFIED;
@@ -447,6 +526,13 @@
                 "backups": e.backups.iter().map(ip).collect::<Vec<_>>(),
             })
         });
+        let duties = view.duties.iter().map(|(duty, holder)| {
+            let holder =
+                holder.map(|(node, number)| serde_json::json!({"holder": ip(&node), "number": number.round}));
+            (format!("{duty:?}").to_lowercase(), holder.unwrap_or_default())
+        });
+        let duties: serde_json::Map<String, serde_json::Value> = duties.collect();
+        let (kept, handed, dropped) = self.repair.figures();
         let (have, of) = view.sure.map_or((0, 0), |version| self.sessions.have(version));
         serde_json::json!({
             "marker": self.me().ip.to_string(),
@@ -458,6 +544,10 @@
             "gatekeepers": self.members.keys().collect::<Vec<_>>(),
             "markers": self.markers().iter().map(ToString::to_string).collect::<Vec<_>>(),
             "servers": self.registry.all().len(),
+            "duties": duties,
+            "ends-kept": kept,
+            "ends-handed-over": handed,
+            "ends-dropped": dropped,
             "rounds-begun": view.rounds.0,
             "rounds-won": view.rounds.1,
         })
