Take nobody into the core who is only named by others; end a primary's work before it leaves

Symptom: of 10,000 drawn schedules (300 before) some never answered again. Causes, each with its timeline:

In the first 0.7 s of a process a marker that others only name counted as heard (its time was 0, the process's own time too), with a folder that nobody has. A primary took it into the core in the place of the true one; if the primary was lost before it mended that, no majority was left, for ever. A primary told to end while a configuration was on its way handed over at once: the configuration was answered 1 s later, by the next. What was asked in a round, of a read or of a backup went out once: a line that broke meanwhile cost the round (0.6 s) and a drawn wait. It is said again every 0.15 s; the model allows any word any number of times.

Ruled out: longer suspicion (rounds that lose a word fail all the same); counting calls that the stand-in operator made twice: its own fault, mended in the test, it doubled its calls at each refusal.

Timelines added: SIGTERM with a change under way, frozen between sync and answer, backup wiped while the witness is deaf, primary replaced at another address during the takeover, two folders lost at once with two losses to be borne. A quarter of the schedules has six markers and two losses; disks turn slow as well.

--- a/crates/marker/src/agreement.rs
+++ b/crates/marker/src/agreement.rs
@@ -496,6 +496,37 @@
         }
     }
 
+    /// Says again what nobody has answered: it may have been lost with a line. Whatever comes twice does no harm.
+    pub fn again(&mut self, acts: &mut Vec<Act>) {
+        let mut words: Vec<(Ipv4Addr, Between)> = Vec::new();
+        if let Some(Round { number, step, asked }) = &self.round {
+            let document = || self.document.as_ref().map(|d| Document::clone(d));
+            match step {
+                Step::Asking => {}
+                Step::Preparing(promises) => {
+                    let left = asked.iter().filter(|n| !promises.contains_key(n));
+                    words.extend(left.map(|n| (n.ip, Between::Prepare(*number))));
+                }
+                Step::Copying(epoch, copied) => {
+                    let left = epoch.backups.iter().filter(|n| !copied.contains(n));
+                    words.extend(left.map(|n| (n.ip, Between::Copy(*number, document()))));
+                }
+                Step::Keeping(epoch, kept) => {
+                    let all: BTreeSet<&Node> = epoch.core.iter().chain(&epoch.before).collect();
+                    let left = all.into_iter().filter(|n| !kept.contains(n));
+                    words.extend(left.map(|n| (n.ip, Between::Keep(epoch.clone()))));
+                }
+            }
+        }
+        if let Some(Leading { number, backups, holding: Some((document, held)), .. }) = &self.leading {
+            let left = backups.iter().filter(|n| !held.contains(n));
+            words.extend(left.map(|n| (n.ip, Between::Hold(*number, Document::clone(document)))));
+        }
+        // What it says to itself is on its way to the disk.
+        let me = self.me.ip;
+        acts.extend(words.into_iter().filter(|(to, _)| *to != me).map(|(to, word)| Act::Say(to, word)));
+    }
+
     /// As primary: begins to make certain, or goes on, that nothing newer was answered for elsewhere.
     pub fn check(&mut self, nonce: u64, acts: &mut Vec<Act>) {
         let Some(leading) = &mut self.leading else { return };
--- a/crates/marker/src/core.rs
+++ b/crates/marker/src/core.rs
@@ -36,6 +36,8 @@
 const LOST: Millis = 2_500;
 /// An operator's call that can't be made certain in this time is answered so; callers wait a second.
 const CALL: Millis = 900;
+/// A primary that was told to end finishes what is under way in this time, and hands over.
+const FINISH: Millis = 150;
 /// Calls that wait at once.
 const CALLS_MAX: usize = 256;
 /// Markers that are known at once.
@@ -45,12 +47,19 @@
 
 struct Heard {
     node: Node,
-    at: Millis,
+    /// When it was; never, where only others name it.
+    at: Option<Millis>,
     led: bool,
     sure: Option<u32>,
     sure_sent: Millis,
 }
 
+impl Heard {
+    fn lately(&self, now: Millis) -> bool {
+        self.at.is_some_and(|at| now < at + HEARD)
+    }
+}
+
 enum Asked {
     Replace(Arc<Document>),
     Read { nonce: u64 },
@@ -62,6 +71,16 @@
     until: Millis,
 }
 
+impl Call {
+    /// Of a read that waits: the number of its check.
+    fn nonce(&self) -> Option<u64> {
+        match self.asked {
+            Asked::Read { nonce } => Some(nonce),
+            Asked::Replace(_) => None,
+        }
+    }
+}
+
 /// What is done once a write is on disk.
 enum After {
     Agreed(Then),
@@ -111,6 +130,7 @@
     writing_since: Millis,
     then: VecDeque<(u64, After)>,
     leaving: bool,
+    leaves_by: Millis,
 }
 
 /// The identity of a founder.
@@ -183,6 +203,7 @@
             writing_since: now,
             then: VecDeque::new(),
             leaving: false,
+            leaves_by: now,
         }
     }
 
@@ -229,7 +250,7 @@
 
     /// All markers that are heard now.
     pub fn live(&self) -> Vec<Ipv4Addr> {
-        let heard = self.heard.iter().filter(|(_, h)| self.now < h.at + HEARD);
+        let heard = self.heard.iter().filter(|(_, h)| h.lately(self.now));
         heard.map(|(ip, _)| *ip).collect()
     }
 
@@ -244,7 +265,7 @@
     }
 
     fn hears(&self, node: Node) -> bool {
-        let heard = |h: &Heard| h.node == node && self.now < h.at + HEARD;
+        let heard = |h: &Heard| h.node == node && h.lately(self.now);
         node == self.me() || self.heard.get(&node.ip).is_some_and(heard)
     }
 
@@ -372,6 +393,7 @@
                     self.next_round = self.next_round.max(self.now + ROUND);
                 }
                 self.go_on(out);
+                self.hand_over(out);
             }
         }
     }
@@ -414,7 +436,7 @@
         if newest.core != newest.before {
             return core;
         }
-        let live = self.heard.values().filter(|h| self.now < h.at + HEARD).map(|h| h.node);
+        let live = self.heard.values().filter(|h| h.lately(self.now)).map(|h| h.node);
         for node in live.filter(|node| !newest.core.contains(node)) {
             let same = core.iter().position(|other| other.ip == node.ip);
             let place = same.or_else(|| core.iter().position(|other| self.is_lost(*other)));
@@ -432,11 +454,8 @@
     }
 
     fn is_lost(&self, node: Node) -> bool {
-        let silent = match self.heard.get(&node.ip) {
-            Some(heard) => self.now > heard.at + LOST,
-            None => self.now > self.started + LOST,
-        };
-        node != self.me() && silent
+        let last = self.heard.get(&node.ip).and_then(|heard| heard.at).unwrap_or(self.started);
+        node != self.me() && self.now > last + LOST
     }
 
     fn on_safe(&mut self, document: Arc<Document>, out: &mut Vec<Output>) {
@@ -558,14 +577,20 @@
         }
         if self.heard.len() < KNOWN_MAX || self.heard.contains_key(&from.ip) {
             let heard =
-                self.heard.entry(from.ip).or_insert(Heard { node: from, at: now, led, sure, sure_sent: 0 });
-            (heard.node, heard.at, heard.led, heard.sure) = (from, now, led, sure);
+                self.heard.entry(from.ip).or_insert(Heard { node: from, at: None, led, sure, sure_sent: 0 });
+            (heard.node, heard.at, heard.led, heard.sure) = (from, Some(now), led, sure);
         }
         // Those that others hear are dialled too; they are heard once they answer.
         for ip in others.iter().filter(|ip| **ip != me.ip) {
             if self.heard.len() < KNOWN_MAX {
                 let node = Node { ip: *ip, folder: 0 };
-                self.heard.entry(*ip).or_insert(Heard { node, at: 0, led: false, sure: None, sure_sent: 0 });
+                self.heard.entry(*ip).or_insert(Heard {
+                    node,
+                    at: None,
+                    led: false,
+                    sure: None,
+                    sure_sent: 0,
+                });
             }
         }
         let mine = self.agreement.epoch().map(|e| e.number).unwrap_or_default();
@@ -602,11 +627,15 @@
                 let (others, duties) = (others.clone(), self.duties.mine());
                 out.push(Output::Send(ip, Between::Hear { epoch, leads, led, sure, others, duties }));
             }
+            // What was asked may have been lost with a line.
+            self.agree(out, Agreement::again);
+            let reads: Vec<u64> = self.calls.iter().filter_map(Call::nonce).collect();
+            reads.into_iter().for_each(|nonce| self.agree(out, |a, acts| a.check(nonce, acts)));
         }
         let core = self.agreement.epoch().into_iter().flat_map(|e| e.core.iter()).map(|n| n.ip);
         let kept: BTreeSet<Ipv4Addr> = core.chain(self.seeds.iter().copied()).collect();
         let started = self.started;
-        self.heard.retain(|ip, h| kept.contains(ip) || now < h.at.max(started) + FORGET);
+        self.heard.retain(|ip, h| kept.contains(ip) || now < h.at.unwrap_or(started) + FORGET);
         if self.hears_most() {
             self.majority_heard = now;
         }
@@ -626,6 +655,7 @@
             self.keep(After::Ballot(duty, number), out);
         }
         self.go_on(out);
+        self.hand_over(out);
     }
 
     fn watch_as_other(&mut self, out: &mut Vec<Output>) {
@@ -645,7 +675,7 @@
         }
         // Most of the core must miss a primary: one that hears nobody, or is alone in not hearing it, waits.
         let misses = |node: &Node| {
-            let missing = |h: &Heard| h.node == *node && !h.led && self.now < h.at + HEARD;
+            let missing = |h: &Heard| h.node == *node && !h.led && h.lately(self.now);
             *node == me || self.heard.get(&node.ip).is_some_and(missing)
         };
         if most(&epoch.core, misses) {
@@ -690,15 +720,20 @@
         }
         self.agree(out, Agreement::give_up);
         self.duties.lay_down();
-        if let Some((number, backups)) = self.agreement.leads() {
-            let first = backups.first().copied();
-            if !self.agreement.is_holding() {
-                self.agree(out, Agreement::depose);
-            }
-            if let Some(node) = first {
-                out.push(Output::Send(node.ip, Between::HandOver(number)));
-            }
+        (self.said, self.leaves_by) = (0, self.now + FINISH);
+        self.hand_over(out);
+    }
+
+    /// Leaves what is to come to a backup, once what is under way here is held or has taken too long.
+    fn hand_over(&mut self, out: &mut Vec<Output>) {
+        if !self.leaving || (self.agreement.is_holding() && self.now < self.leaves_by) {
+            return;
+        }
+        let Some((number, backups)) = self.agreement.leads() else { return };
+        let first = backups.first().copied();
+        self.agree(out, Agreement::depose);
+        if let Some(node) = first {
+            out.push(Output::Send(node.ip, Between::HandOver(number)));
         }
-        self.said = 0;
     }
 }
--- a/crates/marker/tests/core.rs
+++ b/crates/marker/tests/core.rs
@@ -41,7 +41,7 @@
     Written(usize, u32, u64, Box<Keeping>),
     Tick(usize, u32),
     Ended(usize, u32),
-    /// An operator's call: which, where, how often it was passed on.
+    /// An operator's call: which, where, how often it was tried.
     Call(u64, usize, u32),
 }
 
@@ -58,11 +58,14 @@
     next: u64,
     rng: fastrand::Rng,
     calls: BTreeMap<u64, Call>,
+    /// How often each call was tried.
+    tries: BTreeMap<u64, u32>,
     acked: u32,
     read: Option<u32>,
     /// Which marker answered in which epoch.
     primaries: BTreeMap<Number, Ipv4Addr>,
     lossy: f64,
+    losses: usize,
 }
 
 fn document(version: u32) -> Document {
@@ -95,10 +98,12 @@
             next: 0,
             rng: fastrand::Rng::with_seed(seed),
             calls: BTreeMap::new(),
+            tries: BTreeMap::new(),
             acked: 0,
             read: None,
             primaries: BTreeMap::new(),
             lossy: 0.0,
+            losses: 1,
         }
     }
 
@@ -117,7 +122,7 @@
         place.disk = Some(keeping.clone());
         place.start += 1;
         place.life = Life::Up;
-        place.core = Some(Core::new(keeping, &seeds, 1, seed, self.now));
+        place.core = Some(Core::new(keeping, &seeds, self.losses, seed, self.now));
         let start = place.start;
         self.at(0, Event::Tick(n, start));
     }
@@ -154,6 +159,7 @@
             "join" => (self.places[n].cut, self.places[n].deaf) = (false, false),
             "deaf" => self.places[n].deaf = true,
             "slow" => self.places[n].disk_ms = 2_000,
+            "quick" => self.places[n].disk_ms = 5,
             "stop" => {
                 self.step(n, |core, now, out| core.on_leave(now, out));
                 let start = self.places[n].start;
@@ -167,7 +173,7 @@
         self.next += 1;
         let id = self.next;
         self.calls.insert(id, call);
-        self.at(0, Event::Call(id, at, 0));
+        self.again(0, id, at);
     }
 
     fn step(&mut self, n: usize, take: impl FnOnce(&mut Core, u64, &mut Vec<Output>)) {
@@ -228,11 +234,19 @@
             (_, None) => None,
         };
         match again {
-            Some(at) => self.at(50, Event::Call(id, at, 0)),
+            Some(at) => self.again(50, id, at),
             None => drop(self.calls.remove(&id)),
         }
     }
 
+    /// A call is tried again later, and not any more as it was to be.
+    fn again(&mut self, after: u64, id: u64, at: usize) {
+        let tries = self.tries.entry(id).or_default();
+        *tries += 1;
+        let tries = *tries;
+        self.at(after, Event::Call(id, at, tries));
+    }
+
     fn run(&mut self, until: u64) {
         while let Some(Reverse((at, id))) = self.queue.peek().copied().filter(|Reverse((at, _))| *at <= until)
         {
@@ -262,7 +276,7 @@
                     self.at(25, Event::Tick(n, start));
                 }
                 Event::Ended(n, start) if self.places[n].start == start => self.down(n),
-                Event::Call(id, n, tries) => {
+                Event::Call(id, n, tries) if self.tries.get(&id) == Some(&tries) => {
                     let next = (n + 1) % self.places.len();
                     let reached = self.places[n].life == Life::Up;
                     match self.calls.get(&id) {
@@ -276,8 +290,8 @@
                         _ => {}
                     }
                     // Silence for a second: the caller tries the next.
-                    if self.calls.contains_key(&id) && tries < 30 {
-                        self.at(if reached { 1_000 } else { 100 }, Event::Call(id, next, tries + 1));
+                    if self.calls.contains_key(&id) && self.tries.get(&id) == Some(&tries) {
+                        self.again(if reached { 1_000 } else { 100 }, id, next);
                     }
                 }
                 _ => {}
@@ -294,10 +308,16 @@
 
 /// Plays a timeline: its first line names the columns.
 fn play(founders: usize, timeline: &str) -> World {
+    play_with(1, founders, timeline)
+}
+
+/// The same where more than one loss is to be borne.
+fn play_with(losses: usize, founders: usize, timeline: &str) -> World {
     let mut lines = timeline.lines().map(str::trim).filter(|line| !line.is_empty());
     let columns: Vec<&str> = lines.next().unwrap().split('|').map(str::trim).collect();
     let places = columns.len() - 2;
     let mut world = World::new(places, founders, 7);
+    world.losses = losses;
     for line in lines {
         let cells: Vec<&str> = line.split('|').map(str::trim).collect();
         assert_eq!(cells.len(), columns.len(), "{line}");
@@ -536,52 +556,195 @@
     );
 }
 
-/// Faults drawn at random, one of the core down or cut off at a time: nothing answered is lost, and at the end all
-/// is answered again. The assertions of the world hold throughout.
 #[gtest]
-fn drawn_schedules_lose_nothing_that_was_answered() {
-    for seed in 0..300 {
-        let mut world = World::new(3, 3, seed);
-        let mut rng = fastrand::Rng::with_seed(seed ^ 0x5eed);
-        world.lossy = if seed % 3 == 0 { 0.05 } else { 0.0 };
-        (0..3).for_each(|n| world.act(n, "up"));
-        let (mut version, mut now) = (0, 500);
-        for _ in 0..12 {
-            world.run(now);
-            let n = rng.usize(0..3);
-            for _ in 0..rng.u32(0..3) {
-                version += 1;
-                world.call(Call::Put(version), rng.usize(0..3));
-                now += rng.u64(0..30);
-                world.run(now);
+fn a_primary_that_is_told_to_end_with_a_change_under_way_answers_it_or_leaves_it_to_the_next() {
+    play(
+        3,
+        "ms   | a    | b  | c  | operator
+         0    | up   | up | up |
+         600  |      |    |    | put 1 a
+         800  |      |    |    | put 2 a
+         801  | stop |    |    | acked 1
+         900  |      |    |    | acked 2
+         1100 |      |    |    | primary b
+         1100 |      |    |    | get c
+         2100 |      |    |    | has 2",
+    );
+}
+
+#[gtest]
+fn a_primary_that_is_frozen_between_its_sync_and_its_answer_answers_nothing_when_it_wakes() {
+    play(
+        3,
+        "ms   | a      | b  | c  | operator
+         0    | up     | up | up |
+         600  |        |    |    | put 1 a
+         800  |        |    |    | put 2 a
+         806  | freeze |    |    | acked 1
+         3000 |        |    |    | put 3 c
+         3900 | thaw   |    |    | acked 3
+         3901 |        |    |    | get a
+         5500 |        |    |    | has 3",
+    );
+}
+
+#[gtest]
+fn the_backup_is_wiped_while_the_witness_hears_nobody() {
+    play(
+        3,
+        "ms    | a  | b    | c    | operator
+         0     | up | up   | up   |
+         600   |    |      |      | put 1 a
+         800   |    | wipe | deaf | acked 1
+         1500  |    | up   |      | put 2 a
+         3000  |    |      |      | acked 1
+         3000  |    |      | join |
+         6000  |    |      |      | acked 2
+         6000  | wipe |    |      | get b
+         9000  |    |      |      | has 2",
+    );
+}
+
+#[gtest]
+fn the_primary_is_replaced_at_another_address_during_the_takeover() {
+    let world = play(
+        3,
+        "ms    | a    | b  | c    | d  | operator
+         0     | up   | up | up   |    |
+         600   |      |    |      |    | put 1 a
+         800   | wipe |    |      |    | acked 1
+         1500  |      |    |      | up | put 2 d
+         6000  |      |    | kill |    | acked 2
+         6000  |      |    |      |    | put 3 d
+         9000  |      |    |      |    | acked 3
+         9000  |      | wipe |    |    | get d
+         12000 |      |    | up   |    |
+         15000 |      |    |      |    | has 3",
+    );
+    let core = world.places[3].core.as_ref().unwrap().view().epoch.unwrap().core;
+    expect_true!(core.iter().any(|node| node.ip == ip(3)));
+}
+
+#[gtest]
+fn two_folders_are_lost_at_once_where_two_losses_are_to_be_borne() {
+    let world = play_with(
+        2,
+        3,
+        "ms    | a    | b    | c     | d     | e     | f     | operator
+         0     | up   | up   | up    | up    | up    | up    |
+         4000  |      |      |       |       |       |       | put 1 a
+         4200  |      |      |       |       |       |       | acked 1
+         4200  | wipe | wipe | power | power | power | power |
+         5000  | up   | up   | up    | up    | up    | up    |
+         9000  |      |      |       |       |       |       | get a
+         10000 |      |      |       |       |       |       | has 1
+         10000 |      |      |       |       |       |       | put 2 b
+         11000 |      |      |       |       |       |       | acked 2",
+    );
+    expect_that!(world.places[2].core.as_ref().unwrap().view().epoch.unwrap().core.len(), eq(5));
+}
+
+/// In the first 0.7 s of a process a marker that others only name was taken for one that is heard, by a folder that
+/// nobody has, and got the place of the true one.
+#[gtest]
+fn a_marker_that_is_only_named_by_others_is_not_taken_into_the_core() {
+    let seeds: Vec<Ipv4Addr> = (0..3).map(ip).collect();
+    let node = |n| begin(ip(n), &seeds, true, 0).node;
+    let mut a = Core::new(begin(ip(0), &seeds, true, 0), &seeds, 1, 7, 0);
+    let (mut inbox, mut core) = (Vec::new(), None);
+    for now in (0..600).step_by(25) {
+        let mut out = Vec::new();
+        let (epoch, others) = (Number::default(), vec![ip(2)]);
+        let duties = Vec::new();
+        let hear = Between::Hear { epoch, leads: false, led: false, sure: None, others, duties };
+        a.on_word(now, node(1), hear, &mut out);
+        for word in std::mem::take(&mut inbox) {
+            a.on_word(now, node(1), word, &mut out);
+        }
+        a.on_tick(now, &mut out);
+        while let Some(output) = out.pop() {
+            match output {
+                Output::Write(ticket, _) => a.on_written(now, ticket, &mut out),
+                Output::Send(to, word) if to == ip(1) => match word {
+                    Between::Prepare(number) => inbox.push(Between::Promise(number, a.view().epoch)),
+                    Between::Copy(number, _) => inbox.push(Between::Copied(number)),
+                    Between::Keep(epoch) => {
+                        inbox.push(Between::Kept(epoch.number));
+                        core = Some(epoch.core);
+                    }
+                    _ => {}
+                },
+                _ => {}
             }
-            let since = world.acked;
-            world.call(Call::Get { since }, rng.usize(0..3));
-            let (begin, end) = *rng
-                .choice(&[
-                    ("kill", "up"),
-                    ("power", "up"),
-                    ("wipe", "up"),
-                    ("freeze", "thaw"),
-                    ("cut", "join"),
-                    ("deaf", "join"),
-                ])
-                .unwrap();
-            world.act(n, begin);
-            now += rng.u64(20..3_000);
+        }
+    }
+    expect_that!(core, some(eq(&vec![node(0), node(1), node(2)])));
+}
+
+/// Faults drawn at random, as many down or cut off at a time as must be borne: nothing answered is lost, and at the
+/// end all is answered again. The assertions of the world hold throughout.
+fn drawn_schedule(seed: u64) {
+    let (losses, places) = if seed % 4 == 3 { (2, 6) } else { (1, 3) };
+    let mut world = World::new(places, 3, seed);
+    world.losses = losses;
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x5eed);
+    world.lossy = if seed.is_multiple_of(3) { 0.05 } else { 0.0 };
+    (0..places).for_each(|n| world.act(n, "up"));
+    let (mut version, mut now) = (0, if losses > 1 { 5_000 } else { 500 });
+    for _ in 0..if losses > 1 { 4 } else { 12 } {
+        world.run(now);
+        let mut hit: Vec<usize> = (0..places).collect();
+        rng.shuffle(&mut hit);
+        hit.truncate(rng.usize(1..=losses));
+        for _ in 0..rng.u32(0..3) {
+            version += 1;
+            world.call(Call::Put(version), rng.usize(0..places));
+            now += rng.u64(0..30);
             world.run(now);
-            world.act(n, end);
-            // It counts as lost until it has caught up.
-            now += 5_000;
         }
+        let since = world.acked;
+        world.call(Call::Get { since }, rng.usize(0..places));
+        let faults = [
+            ("kill", "up"),
+            ("power", "up"),
+            ("wipe", "up"),
+            ("freeze", "thaw"),
+            ("cut", "join"),
+            ("deaf", "join"),
+            ("slow", "quick"),
+        ];
+        let drawn: Vec<_> = hit.into_iter().map(|n| (n, faults[rng.usize(0..faults.len())])).collect();
+        drawn.iter().for_each(|(n, (begin, _))| world.act(*n, begin));
+        now += rng.u64(20..3_000);
         world.run(now);
-        let acked = world.acked;
-        world.read = None;
-        world.call(Call::Get { since: acked }, 0);
-        world.run(now + 2_000);
-        assert!(world.read >= Some(acked), "seed {seed}: {:?} is read, {acked} was answered", world.read);
-        world.call(Call::Put(version + 1), 1);
-        world.run(now + 4_000);
-        assert_eq!(world.acked, version + 1, "seed {seed}");
+        drawn.iter().for_each(|(n, (_, end))| world.act(*n, end));
+        // They count as lost until they have caught up.
+        now += if losses > 1 { 8_000 } else { 5_000 };
     }
+    world.run(now);
+    let acked = world.acked;
+    world.read = None;
+    world.call(Call::Get { since: acked }, 0);
+    world.run(now + 2_000);
+    assert!(world.read.unwrap_or(0) >= acked, "seed {seed}: {:?} is read, {acked} was answered", world.read);
+    world.call(Call::Put(version + 1), 1);
+    // `acknowledge-ms` later, also where one word in twenty is lost.
+    world.run(now + 6_000);
+    assert_eq!(world.acked, version + 1, "seed {seed}");
+}
+
+#[test]
+fn ten_thousand_drawn_schedules_lose_nothing_that_was_answered() {
+    let next = std::sync::atomic::AtomicU64::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                if seed >= 10_000 {
+                    return;
+                }
+                drawn_schedule(seed);
+            });
+        }
+    });
 }
