Survive a damaged, full or refusing disk: set aside, begin as an empty marker, try again

A marker whose file was damaged ended at each start, again and again (three such ends on half of the core are a fault), and one whose disk refused at its start did the same.

Ruled out: keeping the founder's name after a damaged file at a first start (it has forgotten what it promised: the model's variant "KeepsItsName" loses answers so).

Change: a damaged file is renamed and the marker begins as an empty one, another node; a disk that refuses is asked again with drawn waits. The log tells of a refused write once, not ten times a second.

Tests: a write-ahead log torn at every 257th byte leaves one of what was kept, never anything else; a damaged file; a full disk keeps nothing and answers for nothing.

--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -4,7 +4,7 @@
 use crate::core::{self, Core};
 use crate::parts::{Millis, Output, Reply, SessionId};
 use crate::state::Marker;
-use crate::store::{self, Job, Store};
+use crate::store::{self, Found, Job, Store};
 use granitelead_base::Backoff;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -241,6 +241,24 @@
     }
 }
 
+/// Opens the folder; while the disk refuses it is tried again.
+async fn open(settings: &Settings) -> Result<Found, Failure> {
+    let Some(folder) = &settings.folder else {
+        let store = Store::in_memory().context(FolderSnafu)?;
+        return Ok(Found { store, kept: None, servers: Vec::new(), forgot: false });
+    };
+    let mut backoff = Backoff::new(fastrand::u64(..));
+    loop {
+        match Store::find(std::path::Path::new(folder)) {
+            Err(fault) if fault.may_pass() => {
+                log::error!("not opened: {fault}");
+                backoff.wait().await;
+            }
+            found => return found.context(FolderSnafu),
+        }
+    }
+}
+
 /// Runs a marker until it is told to end.
 ///
 /// # Errors
@@ -248,12 +266,8 @@
 /// Why it can't go on.
 pub async fn serve(settings: Settings, control: SocketAddrV4) -> Result<(), Failure> {
     let seeds = ips(&settings);
-    let mut store = match &settings.folder {
-        Some(folder) => Store::open(std::path::Path::new(folder)).context(FolderSnafu)?,
-        None => Store::in_memory().context(FolderSnafu)?,
-    };
-    let first_start = settings.first_start && settings.folder.is_some();
-    let kept = store.read().context(FolderSnafu)?;
+    let Found { mut store, kept, servers, forgot } = open(&settings).await?;
+    let first_start = settings.first_start && settings.folder.is_some() && !forgot;
     let keeping = match kept {
         Some(kept) if kept.node.ip == settings.ip => kept,
         _ => {
@@ -262,7 +276,6 @@
             begin
         }
     };
-    let servers = store.servers().context(FolderSnafu)?;
     let (writes, to_write) = mpsc::channel();
     let (written, mut is_written) = tokio::sync::mpsc::unbounded_channel();
     std::thread::spawn(move || {
--- a/crates/marker/src/store.rs
+++ b/crates/marker/src/store.rs
@@ -4,7 +4,7 @@
 //! be there. A write that fails is tried again: what can't be kept is never answered for.
 
 use crate::parts::Keeping;
-use rusqlite::{params, Connection, OptionalExtension};
+use rusqlite::{params, Connection, ErrorCode, OptionalExtension};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
@@ -18,6 +18,8 @@
 const FORM: i64 = 1;
 /// The file in the folder.
 const FILE: &str = "marker.sqlite";
+/// What a file that can't be used is renamed to; the one before it is lost.
+const BROKEN: &str = "marker.sqlite.broken";
 /// Pause after a write that failed.
 const AGAIN: Duration = Duration::from_millis(100);
 
@@ -42,6 +44,14 @@
         /// Its form.
         form: i64,
     },
+    /// It is damaged, and can't be set aside.
+    #[snafu(display("{file}: damaged, and can't be renamed: {source}"))]
+    Aside {
+        /// Which file.
+        file: String,
+        /// Why.
+        source: std::io::Error,
+    },
     /// It holds what this program does not write.
     #[snafu(display("{file}: {name} can't be read: {text}"))]
     Content {
@@ -54,6 +64,36 @@
     },
 }
 
+impl Fault {
+    /// Whether the file is damaged, so that trying again can't help.
+    fn is_damage(&self) -> bool {
+        match self {
+            Fault::Disk { source: rusqlite::Error::SqliteFailure(e, _), .. } => {
+                matches!(e.code, ErrorCode::DatabaseCorrupt | ErrorCode::NotADatabase)
+            }
+            Fault::Content { .. } => true,
+            _ => false,
+        }
+    }
+
+    /// Whether trying again may help: the disk refuses, or is full.
+    pub fn may_pass(&self) -> bool {
+        matches!(self, Fault::Disk { .. }) && !self.is_damage()
+    }
+}
+
+/// What a folder held when it was opened.
+pub struct Found {
+    /// The folder, open.
+    pub store: Store,
+    /// What was kept, unless it is empty.
+    pub kept: Option<Keeping>,
+    /// The servers that were known last.
+    pub servers: Vec<Instance>,
+    /// Whether there was a file that can't be used: what this marker promised is forgotten.
+    pub forgot: bool,
+}
+
 /// The folder of a marker.
 pub struct Store {
     disk: Connection,
@@ -75,6 +115,37 @@
         Store::of(disk, file)
     }
 
+    /// Opens a folder and reads it. A damaged file is set aside: the marker then is an empty one.
+    ///
+    /// # Errors
+    ///
+    /// Why it can't be used; see [`Fault::may_pass`].
+    pub fn find(folder: &Path) -> Result<Found, Fault> {
+        let found = |forgot| {
+            let mut store = Store::open(folder)?;
+            let (kept, servers) = (store.read()?, store.servers()?);
+            Ok(Found { store, kept, servers, forgot })
+        };
+        match found(false) {
+            Err(fault) if Fault::is_damage(&fault) => {
+                log::error!("{fault}; the file is set aside as {BROKEN}, this marker begins as an empty one");
+                let (file, aside) = (folder.join(FILE), folder.join(BROKEN));
+                let moved = std::fs::rename(&file, aside).and_then(|()| {
+                    for log in ["marker.sqlite-wal", "marker.sqlite-shm", "marker.sqlite-journal"] {
+                        match std::fs::remove_file(folder.join(log)) {
+                            Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(e),
+                            _ => {}
+                        }
+                    }
+                    std::fs::File::open(folder)?.sync_all()
+                });
+                moved.context(AsideSnafu { file: file.display().to_string() })?;
+                found(true)
+            }
+            other => other,
+        }
+    }
+
     /// A store in memory, for markers without a folder.
     ///
     /// # Errors
@@ -217,7 +288,7 @@
 
 /// Writes what comes until nobody sends any more; tells the ticket of each write once it is there.
 pub fn run(mut store: Store, jobs: &mpsc::Receiver<Job>, mut written: impl FnMut(u64)) {
-    let (mut keep, mut servers) = (None, None);
+    let (mut keep, mut servers, mut failing) = (None, None, false);
     while let Ok(job) = jobs.recv() {
         for job in std::iter::once(job).chain(jobs.try_iter()) {
             match job {
@@ -227,9 +298,14 @@
         }
         while let Some((ticket, keeping)) = keep.take() {
             match store.write(&keeping) {
-                Ok(()) => written(ticket),
+                Ok(()) => {
+                    failing = false;
+                    written(ticket);
+                }
                 Err(fault) => {
-                    log::error!("not kept: {fault}");
+                    if !std::mem::replace(&mut failing, true) {
+                        log::error!("not kept, tried again until it is: {fault}");
+                    }
                     std::thread::sleep(AGAIN);
                     keep = Some((ticket, keeping));
                     for job in jobs.try_iter() {
@@ -272,6 +348,89 @@
         }
     }
 
+    /// A folder of a test, gone with it.
+    struct Folder(std::path::PathBuf);
+
+    impl Folder {
+        fn new(name: &str) -> Folder {
+            let path = std::env::temp_dir().join(format!("marker-{name}-{}", std::process::id()));
+            std::fs::create_dir_all(&path).unwrap();
+            Folder(path)
+        }
+
+        fn file(&self, name: &str) -> std::path::PathBuf {
+            self.0.join(name)
+        }
+    }
+
+    impl Drop for Folder {
+        fn drop(&mut self) {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+
+    #[gtest]
+    fn a_log_torn_anywhere_leaves_what_was_kept_before() {
+        let (written, torn) = (Folder::new("written"), Folder::new("torn"));
+        let mut store = Store::open(&written.0).unwrap();
+        let small = |version| {
+            let document = Some(Arc::new(Document { version, bytes: vec![7; 6_000] }));
+            Keeping { document, ..keeping(version) }
+        };
+        store.write(&small(1)).unwrap();
+        store.write(&small(2)).unwrap();
+        let (base, log) = ("marker.sqlite", "marker.sqlite-wal");
+        let whole = std::fs::read(written.file(log)).unwrap();
+        let mut seen = std::collections::BTreeSet::new();
+        for length in (0..=whole.len()).rev().step_by(257) {
+            std::fs::copy(written.file(base), torn.file(base)).unwrap();
+            std::fs::write(torn.file(log), &whole[..length]).unwrap();
+            let found = Store::find(&torn.0).unwrap();
+            expect_false!(found.forgot);
+            let version = found.kept.map(|kept| {
+                let document = kept.document.clone().unwrap();
+                assert_eq!(kept, small(document.version));
+                document.version
+            });
+            seen.insert(version);
+        }
+        expect_that!(seen, eq(&[None, Some(1), Some(2)].into()));
+    }
+
+    #[gtest]
+    fn a_damaged_file_is_set_aside_and_what_was_promised_counts_as_forgotten() {
+        let folder = Folder::new("damaged");
+        let mut store = Store::open(&folder.0).unwrap();
+        store.write(&keeping(1)).unwrap();
+        drop(store);
+        let mut bytes = std::fs::read(folder.file(FILE)).unwrap();
+        bytes[..200].fill(0x5a);
+        std::fs::write(folder.file(FILE), bytes).unwrap();
+        let mut found = Store::find(&folder.0).unwrap();
+        expect_true!(found.forgot && found.kept.is_none() && folder.file(BROKEN).exists());
+        found.store.write(&keeping(2)).unwrap();
+        drop(found);
+        let again = Store::find(&folder.0).unwrap();
+        expect_that!(again.kept, some(eq(&keeping(2))));
+        expect_false!(again.forgot);
+    }
+
+    #[gtest]
+    fn a_full_disk_keeps_nothing_and_answers_for_nothing_until_there_is_room() {
+        let mut store = Store::in_memory().unwrap();
+        store.write(&keeping(1)).unwrap();
+        let pages: i64 = store.disk.pragma_query_value(None, "page_count", |row| row.get(0)).unwrap();
+        store.disk.pragma_update(None, "max_page_count", pages + 1).unwrap();
+        let large = Some(Arc::new(Document { version: 2, bytes: vec![8; 400_000] }));
+        let larger = Keeping { document: large, ..keeping(2) };
+        let fault = store.write(&larger).unwrap_err();
+        expect_true!(fault.may_pass());
+        expect_that!(store.read().unwrap(), some(eq(&keeping(1))));
+        store.disk.pragma_update(None, "max_page_count", 10_000).unwrap();
+        store.write(&larger).unwrap();
+        expect_that!(store.read().unwrap(), some(eq(&larger)));
+    }
+
     #[gtest]
     fn another_form_is_refused_with_what_to_do() {
         let disk = Connection::open_in_memory().unwrap();
--- a/crates/marker/tests/core.rs
+++ b/crates/marker/tests/core.rs
@@ -681,6 +681,29 @@
     expect_that!(core, some(eq(&vec![node(0), node(1), node(2)])));
 }
 
+/// How long after the primary's death the next configuration is answered, operators trying on as they do.
+#[gtest]
+fn the_next_answer_after_a_primarys_death_comes_in_time() {
+    let mut took = Vec::new();
+    for seed in 0..400 {
+        let mut world = World::new(3, 3, seed);
+        (0..3).for_each(|n| world.act(n, "up"));
+        world.call(Call::Put(1), 0);
+        world.run(2_000 + seed);
+        let primary = world.primary().unwrap();
+        world.act(primary, if seed % 2 == 0 { "kill" } else { "power" });
+        let died = world.now;
+        world.call(Call::Put(2), (primary + 1) % 3);
+        while world.acked < 2 {
+            world.run(world.now + 5);
+            assert!(world.now < died + 4_000, "seed {seed}");
+        }
+        took.push(world.now - died);
+    }
+    took.sort();
+    println!("answered again after {} ms on the median, {} at the longest", took[200], took[399]);
+}
+
 /// Faults drawn at random, as many down or cut off at a time as must be borne: nothing answered is lost, and at the
 /// end all is answered again. The assertions of the world hold throughout.
 fn drawn_schedule(seed: u64) {
