--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -222,15 +222,8 @@
         }
     }
 
-    /// Takes in what another marker tells of servers, and says when all here know it.
-    fn take_servers(
-        &mut self,
-        now: Millis,
-        from: Ipv4Addr,
-        ticket: u64,
-        servers: Vec<Instance>,
-        out: &mut Vec<Output>,
-    ) {
+    /// Takes in servers that are told on, and tells what changed. Gives those whose end whoever told has missed.
+    fn learn(&mut self, now: Millis, servers: Vec<Instance>, out: &mut Vec<Output>) -> Vec<Instance> {
         let (mut changed, mut ended) = (Vec::new(), Vec::new());
         for server in servers {
             match self.registry.learn(now, server) {
@@ -241,6 +234,19 @@
         if !changed.is_empty() {
             self.tell_servers(changed, out);
         }
+        ended
+    }
+
+    /// Takes in what another marker tells of servers, and says when all here know it.
+    fn take_servers(
+        &mut self,
+        now: Millis,
+        from: Ipv4Addr,
+        ticket: u64,
+        servers: Vec<Instance>,
+        out: &mut Vec<Output>,
+    ) {
+        let ended = self.learn(now, servers, out);
         if !ended.is_empty() {
             let ticket = self.sessions.ticket();
             self.repair.owe(now, from, &ended, ticket);
@@ -320,17 +326,7 @@
         match word {
             Up::Hello { life, name, has, servers } => {
                 // What it knows may be more than is known here, after a start of all.
-                let (mut changed, mut ended) = (Vec::new(), Vec::new());
-                for server in servers {
-                    match self.registry.learn(now, server) {
-                        Learnt::News(news) => changed.extend(news),
-                        // It missed the end.
-                        Learnt::Ended(end) => ended.push(end),
-                    }
-                }
-                if !changed.is_empty() {
-                    self.tell_servers(changed, out);
-                }
+                let ended = self.learn(now, servers, out);
                 let (all, markers) = (self.registry.all(), self.markers());
                 self.sessions.open(
                     now,
