Call what is there: one way to tell other markers, one list of who is late

The last read of the change found: the loop that tells all markers and keeps ends for them stood in two places, the ones who have not copied or do not hold yet were worked out again where words are repeated, tickets were counted up in two places, and `Registry::ended` was used by nobody. Each stands once now; behaviour as it was.

--- a/crates/marker/src/agreement.rs
+++ b/crates/marker/src/agreement.rs
@@ -507,8 +507,8 @@
                     let left = asked.iter().filter(|n| !promises.contains_key(n));
                     words.extend(left.map(|n| (n.ip, Between::Prepare(*number))));
                 }
-                Step::Copying(epoch, copied) => {
-                    let left = epoch.backups.iter().filter(|n| !copied.contains(n));
+                Step::Copying(..) => {
+                    let left = self.not_copied().into_iter();
                     words.extend(left.map(|n| (n.ip, Between::Copy(*number, document()))));
                 }
                 Step::Keeping(epoch, kept) => {
@@ -518,9 +518,10 @@
                 }
             }
         }
-        if let Some(Leading { number, backups, holding: Some((document, held)), .. }) = &self.leading {
-            let left = backups.iter().filter(|n| !held.contains(n));
-            words.extend(left.map(|n| (n.ip, Between::Hold(*number, Document::clone(document)))));
+        if let Some(Leading { number, holding: Some((document, _)), .. }) = &self.leading {
+            words.extend(
+                self.late().into_iter().map(|n| (n.ip, Between::Hold(*number, Document::clone(document)))),
+            );
         }
         // What it says to itself is on its way to the disk.
         let me = self.me.ip;
--- a/crates/marker/src/registry.rs
+++ b/crates/marker/src/registry.rs
@@ -173,11 +173,6 @@
         self.entries.values().map(|e| &e.instance).filter(|i| i.state != State::Gone).cloned().collect()
     }
 
-    /// All that have ended lately.
-    pub fn ended(&self) -> Vec<Instance> {
-        self.entries.values().map(|e| &e.instance).filter(|i| i.state == State::Gone).cloned().collect()
-    }
-
     /// Takes in a word that is told on by somebody who may have been away for long.
     pub fn learn(&mut self, now: Millis, word: Instance) -> Learnt {
         let known = self.entries.get(&word.id).map(|e| &e.instance);
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -152,12 +152,12 @@
     /// Waits until all gatekeepers with sessions here know what they were told so far, and these markers say the
     /// same of theirs. Gives the ticket under which the markers are to say so.
     pub fn wait(&mut self, now: Millis, waiter: Waiter, markers: &[Ipv4Addr]) -> u64 {
-        self.ticket += 1;
+        let ticket = self.ticket();
         let behind = self.sessions.iter().filter(|(_, s)| s.got < s.sent);
         let sessions = behind.map(|(id, s)| (*id, s.sent)).collect();
         let (markers, until) = (markers.iter().copied().collect(), now + KNOWN);
-        self.waits.push(Wait { waiter, sessions, markers, ticket: self.ticket, until });
-        self.ticket
+        self.waits.push(Wait { waiter, sessions, markers, ticket, until });
+        ticket
     }
 
     /// A ticket under which another marker says that it has something, where nobody waits for it.
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -197,11 +197,18 @@
             out.push(Output::Answer(id, reply));
             0
         };
-        self.pass_on(now, changed, ticket, out);
+        self.pass_on(now, changed, ticket, Between::Servers, out);
     }
 
     /// Tells the other markers what has changed of servers. Who is no more is kept for those that can't be told now.
-    fn pass_on(&mut self, now: Millis, changed: Vec<Instance>, ticket: u64, out: &mut Vec<Output>) {
+    fn pass_on(
+        &mut self,
+        now: Millis,
+        changed: Vec<Instance>,
+        ticket: u64,
+        word: impl Fn(u64, Vec<Instance>) -> Between,
+        out: &mut Vec<Output>,
+    ) {
         if changed.is_empty() {
             return;
         }
@@ -209,7 +216,7 @@
         let ticket = if ticket == 0 && !ended.is_empty() { self.sessions.ticket() } else { ticket };
         for ip in self.core.known() {
             self.repair.owe(now, ip, &ended, ticket);
-            out.push(Output::Send(ip, Between::Servers(ticket, changed.clone())));
+            out.push(Output::Send(ip, word(ticket, changed.clone())));
         }
     }
 
@@ -460,11 +467,7 @@
             return;
         }
         self.tell_servers(ended.clone(), out);
-        let ticket = self.sessions.ticket();
-        for ip in self.core.known() {
-            self.repair.owe(now, ip, &ended, ticket);
-            out.push(Output::Send(ip, Between::Reaped(number, ticket, ended.clone())));
-        }
+        self.pass_on(now, ended, 0, |ticket, ended| Between::Reaped(number, ticket, ended), out);
     }
 
     /// A marker names all gatekeepers whose home it is: others whose home it was are heard no more.
