Split the core's running by concern: orders, hearing, rounds

Ruled out: changing anything on the way; the methods are moved as they stood, only their reach within the module changed.

--- /dev/null
+++ b/crates/marker/src/core/hearing.rs
@@ -0,0 +1,128 @@
+//! Whom a marker hears, and who is said to be primary: what all trying goes by, and nothing else.
+
+use super::{Core, BROKE, HEAR, HEARD, KNOWN_MAX};
+use crate::agreement::most;
+use crate::parts::{Millis, Output};
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use trunk::words::{Between, Document, Node, Number};
+
+pub(super) struct Heard {
+    pub(super) node: Node,
+    /// When it was; never, where only others name it.
+    pub(super) at: Option<Millis>,
+    pub(super) led: bool,
+    pub(super) sure: Option<u32>,
+    pub(super) sure_sent: Millis,
+}
+
+impl Heard {
+    pub(super) fn lately(&self, now: Millis) -> bool {
+        self.at.is_some_and(|at| now < at + HEARD)
+    }
+}
+
+impl Core {
+    /// All other markers that are known.
+    pub fn known(&self) -> BTreeSet<Ipv4Addr> {
+        let core = self.agreement.epoch().into_iter();
+        let core = core.flat_map(|e| e.core.iter().chain(&e.before)).map(|node| node.ip);
+        let mut known: BTreeSet<Ipv4Addr> = core.chain(self.seeds.iter().copied()).collect();
+        known.extend(self.heard.keys().copied());
+        known.remove(&self.me().ip);
+        known
+    }
+
+    /// All markers that are heard now.
+    pub fn live(&self) -> Vec<Ipv4Addr> {
+        let heard = self.heard.iter().filter(|(_, h)| h.lately(self.now));
+        heard.map(|(ip, _)| *ip).collect()
+    }
+
+    /// Whether this marker hears most of the core, itself included.
+    pub fn hears_most(&self) -> bool {
+        self.agreement.epoch().is_some_and(|e| most(&e.core, |node| self.hears(*node)))
+    }
+
+    /// The seeds as a new settings file names them.
+    pub fn reseed(&mut self, seeds: &[Ipv4Addr]) {
+        self.seeds = seeds.to_vec();
+    }
+
+    pub(super) fn hears(&self, node: Node) -> bool {
+        let heard = |h: &Heard| h.node == node && h.lately(self.now);
+        node == self.me() || self.heard.get(&node.ip).is_some_and(heard)
+    }
+
+    pub(super) fn has_primary(&self) -> bool {
+        let heard = self.primary.is_some_and(|(_, at)| self.now < at + HEARD);
+        self.agreement.leads().is_some() || heard
+    }
+
+    #[allow(clippy::too_many_arguments)] // The fields of one word.
+    pub(super) fn on_hear(
+        &mut self,
+        from: Node,
+        epoch: Number,
+        leads: bool,
+        led: bool,
+        sure: Option<u32>,
+        others: &[Ipv4Addr],
+        out: &mut Vec<Output>,
+    ) {
+        let (now, me) = (self.now, self.me());
+        if from.ip == me.ip {
+            return;
+        }
+        if self.heard.len() < KNOWN_MAX || self.heard.contains_key(&from.ip) {
+            let heard =
+                self.heard.entry(from.ip).or_insert(Heard { node: from, at: None, led, sure, sure_sent: 0 });
+            (heard.node, heard.at, heard.led, heard.sure) = (from, Some(now), led, sure);
+        }
+        // Those that others hear are dialled too; they are heard once they answer.
+        for ip in others.iter().filter(|ip| **ip != me.ip) {
+            if self.heard.len() < KNOWN_MAX {
+                let node = Node { ip: *ip, folder: 0 };
+                self.heard.entry(*ip).or_insert(Heard {
+                    node,
+                    at: None,
+                    led: false,
+                    sure: None,
+                    sure_sent: 0,
+                });
+            }
+        }
+        let mine = self.agreement.epoch().map(|e| e.number).unwrap_or_default();
+        self.agreement.learn_round(epoch.round);
+        if leads && epoch >= mine && epoch >= self.agreement.promised() {
+            self.primary = Some((from.ip, now));
+        } else if self.primary.is_some_and(|(ip, _)| ip == from.ip) {
+            self.primary = None;
+        }
+        let tells = self.agreement.leads().is_some();
+        if let Some(epoch) = self.agreement.epoch().filter(|_| tells && epoch < mine) {
+            out.push(Output::Send(from.ip, Between::Latest(epoch.clone())));
+        }
+        let behind =
+            self.agreement.sure().filter(|mine| sure.is_none_or(|theirs| theirs < mine.version)).cloned();
+        if let Some(document) = behind.filter(|_| tells || !led) {
+            if let Some(heard) = self.heard.get_mut(&from.ip).filter(|h| now >= h.sure_sent + 2 * HEAR) {
+                heard.sure_sent = now;
+                out.push(Output::Send(from.ip, Between::Sure(Document::clone(&document))));
+            }
+        }
+    }
+
+    /// The line to another marker broke: if that is the primary, it may have ended.
+    pub fn on_broken(&mut self, now: Millis, ip: Ipv4Addr) {
+        self.now = self.now.max(now);
+        let Some((_, at)) = self.primary.filter(|(primary, at)| *primary == ip && self.now < *at + HEARD)
+        else {
+            return;
+        };
+        // Calls wait for the next one rather than being sent to where nobody is, and the others are told at once.
+        self.primary = Some((ip, at.min(self.now.saturating_sub(HEARD))));
+        self.suspect_after = HEARD + self.rng.u64(BROKE.0..BROKE.1);
+        self.said = 0;
+    }
+}
--- /dev/null
+++ b/crates/marker/src/core/rounds.rs
@@ -0,0 +1,154 @@
+//! When a round is begun, who belongs to the core and holds what in the epoch to be, and how a marker leaves.
+
+use super::hearing::Heard;
+use super::{Core, ALONE, DISK, FINISH, HEAR, LOST, SLOW, SLOW_FOR, SUSPECT};
+use crate::agreement::{most, Agreement};
+use crate::parts::{Millis, Output};
+use std::collections::BTreeSet;
+use trunk::words::{Between, Epoch, Node, Number};
+
+impl Core {
+    pub(super) fn begin_round(&mut self, out: &mut Vec<Output>) {
+        if self.agreement.is_holding() {
+            log::info!("a round while a configuration is on its way");
+        }
+        let mut begun = None;
+        self.agree(out, |a, acts| begun = a.begin(acts));
+        if begun.is_some() {
+            self.rounds.0 += 1;
+            self.round_begun = self.now;
+        }
+    }
+
+    /// The epoch to follow, unless too few are there to hold what it needs.
+    pub(super) fn next_epoch(
+        &self,
+        number: Number,
+        newest: &Epoch,
+        willing: &BTreeSet<Node>,
+    ) -> Option<Epoch> {
+        let core = self.next_core(newest);
+        let wanted = self.losses.min(core.len().saturating_sub(1));
+        let can = |node: &&Node| **node != self.me() && willing.contains(node);
+        let mut backups: Vec<Node> = core.iter().filter(can).copied().collect();
+        let is_slow = |node: &Node| self.slow.get(&node.ip).is_some_and(|until| self.now < *until);
+        backups.sort_by_key(|node| (is_slow(node), !self.hears(*node), !newest.holds(*node), *node));
+        backups.truncate(wanted);
+        let primary = Some(self.me());
+        (backups.len() == wanted).then(|| Epoch {
+            number,
+            core,
+            before: newest.core.clone(),
+            primary,
+            backups,
+        })
+    }
+
+    /// The core to be: with one that waits outside in the place of one that is lost, or as one more.
+    pub(super) fn next_core(&self, newest: &Epoch) -> Vec<Node> {
+        let mut core = newest.core.clone();
+        // One change at a time, and only from a core that has settled.
+        if newest.core != newest.before {
+            return core;
+        }
+        let live = self.heard.values().filter(|h| h.lately(self.now)).map(|h| h.node);
+        for node in live.filter(|node| !newest.core.contains(node)) {
+            let same = core.iter().position(|other| other.ip == node.ip);
+            let place = same.or_else(|| core.iter().position(|other| self.is_lost(*other)));
+            if let Some(place) = place {
+                core[place] = node;
+            } else if core.len() < (2 * self.losses + 1).max(3) {
+                core.push(node);
+            } else {
+                continue;
+            }
+            core.sort();
+            return core;
+        }
+        core
+    }
+
+    pub(super) fn is_lost(&self, node: Node) -> bool {
+        let last = self.heard.get(&node.ip).and_then(|heard| heard.at).unwrap_or(self.started);
+        node != self.me() && self.now > last + LOST
+    }
+
+    pub(super) fn watch_as_other(&mut self, out: &mut Vec<Output>) {
+        let Some(epoch) = self.agreement.epoch() else { return };
+        if self.has_primary() {
+            let (_, at) = self.primary.unwrap_or((self.me().ip, self.now));
+            // Drawn anew once there is one, so that those who miss it do not all begin at once.
+            if self.now < at + HEAR {
+                self.suspect_after = self.rng.u64(SUSPECT.0..SUSPECT.1);
+            }
+            return;
+        }
+        let since = self.primary.map_or(self.started, |(_, at)| at);
+        let me = self.me();
+        if !epoch.holds(me) || self.now < since + self.suspect_after || self.now < self.next_round {
+            return;
+        }
+        // Most of the core must miss a primary: one that hears nobody, or is alone in not hearing it, waits.
+        let misses = |node: &Node| {
+            let missing = |h: &Heard| h.node == *node && !h.led && h.lately(self.now);
+            *node == me || self.heard.get(&node.ip).is_some_and(missing)
+        };
+        if most(&epoch.core, misses) {
+            self.begin_round(out);
+        }
+    }
+
+    pub(super) fn watch_as_primary(&mut self, out: &mut Vec<Output>) {
+        let now = self.now;
+        let Some((number, backups)) = self.agreement.leads() else { return };
+        let backups = backups.to_vec();
+        if now > self.majority_heard + ALONE {
+            log::info!("most of the core is not heard");
+            return self.agree(out, Agreement::depose);
+        }
+        if self.ticket > self.written && now > self.writing_since + DISK {
+            log::info!("the disk does not answer");
+            self.next_round = now + SLOW_FOR;
+            self.agree(out, Agreement::depose);
+            for node in backups {
+                out.push(Output::Send(node.ip, Between::HandOver(number)));
+            }
+            return;
+        }
+        let Some(epoch) = self.agreement.epoch() else { return };
+        let late = if now > self.holding_since + SLOW { self.agreement.late() } else { Vec::new() };
+        let silent = backups.iter().any(|node| !self.hears(*node));
+        let unsettled = epoch.core != epoch.before || self.next_core(epoch) != epoch.core;
+        let until = now + SLOW_FOR;
+        let any_late = !late.is_empty();
+        self.slow.extend(late.into_iter().map(|node| (node.ip, until)));
+        if (silent || any_late || unsettled) && now >= self.next_round && self.hears_most() {
+            self.begin_round(out);
+        }
+    }
+
+    /// The process is about to end: whoever can take over does so at once.
+    pub fn on_leave(&mut self, now: Millis, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        if std::mem::replace(&mut self.leaving, true) {
+            return;
+        }
+        self.agree(out, Agreement::give_up);
+        self.duties.lay_down();
+        (self.said, self.leaves_by) = (0, self.now + FINISH);
+        self.hand_over(out);
+    }
+
+    /// Leaves what is to come to a backup, once what is under way here is held or has taken too long.
+    pub(super) fn hand_over(&mut self, out: &mut Vec<Output>) {
+        if !self.leaving || (self.agreement.is_holding() && self.now < self.leaves_by) {
+            return;
+        }
+        let Some((number, backups)) = self.agreement.leads() else { return };
+        let first = backups.first().copied();
+        self.agree(out, Agreement::depose);
+        if let Some(node) = first {
+            out.push(Output::Send(node.ip, Between::HandOver(number)));
+        }
+    }
+}
