--- /dev/null
+++ b/crates/marker/tests/common/mod.rs
@@ -0,0 +1,3 @@
+//! What the tests of the core share.
+
+pub mod world;
