--- a/crates/marker/src/core.rs
+++ b/crates/marker/src/core.rs
@@ -16,10 +16,12 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Between, Document, Duty, Epoch, Node, Number};
+use trunk::words::{Between, Document, Duty, Epoch, Node, Number, Standing};
 
 /// How often a marker says that it is there.
 const HEAR: Millis = 150;
+/// The same to and from markers outside the core: bytes between zones.
+const HEAR_OUTSIDE: Millis = 450;
 /// Without a word for so long a marker counts as not heard.
 const HEARD: Millis = 700;
 /// Without a primary for between the first and the second, whoever holds everything begins a round; drawn.
@@ -42,6 +44,8 @@
 const ALONE: Millis = 600;
 /// A member of the core that is silent for so long gives its place to one that waits outside.
 const LOST: Millis = 2_500;
+/// The same for one that waits outside without a disk: what such a one holds ends with its process.
+const STANDS_IN: Millis = 30_000;
 /// An operator's call that can't be made certain in this time is answered so; callers wait a second.
 const CALL: Millis = 900;
 /// A primary that was told to end finishes what is under way in this time, and hands over.
@@ -81,14 +85,17 @@
     duties: Duties,
     seeds: Vec<Ipv4Addr>,
     losses: usize,
+    standing: Standing,
     rng: fastrand::Rng,
     now: Millis,
     started: Millis,
     heard: BTreeMap<Ipv4Addr, Heard>,
     said: Millis,
+    said_outside: Millis,
     primary: Option<(Ipv4Addr, Millis)>,
     suspect_after: Millis,
     round_begun: Millis,
+    calm: bool,
     next_round: Millis,
     failed_rounds: u32,
     rounds: (u64, u64),
@@ -124,7 +131,8 @@
 }
 
 /// What a marker with an empty folder begins with: one of the founders at the first start of all, else one from
-/// outside, whose folder is drawn.
+/// outside, whose folder is drawn. Founders may lack a disk: the platform names them before anybody knows. `first_start`
+/// is true for one process only at an address, so that no name is used twice.
 pub fn begin(ip: Ipv4Addr, seeds: &[Ipv4Addr], first_start: bool, drawn: u64) -> Keeping {
     if !(first_start && seeds.contains(&ip)) {
         return empty(Node { ip, folder: drawn | 1 << 63 });
@@ -154,14 +162,17 @@
             agreement: Agreement::new(keeping),
             seeds: seeds.to_vec(),
             losses,
+            standing: Standing::default(),
             rng,
             now,
             started: now,
             heard: BTreeMap::new(),
             said: 0,
+            said_outside: 0,
             primary: None,
             suspect_after,
             round_begun: now,
+            calm: false,
             next_round: 0,
             failed_rounds: 0,
             rounds: (0, 0),
@@ -179,6 +190,12 @@
         }
     }
 
+    /// The same marker in a zone, with a disk or without.
+    pub fn placed(mut self, zone: &str, disk: bool) -> Core {
+        self.standing = Standing { zone: zone.to_owned(), forgets: !disk, leaves: false };
+        self
+    }
+
     /// This marker.
     pub fn me(&self) -> Node {
         self.agreement.me()
@@ -272,7 +289,7 @@
                     log::info!("primary of round {} with {:?}", number.round, self.agreement.leads());
                     self.failed_rounds = 0;
                     self.rounds.1 += 1;
-                    (self.majority_heard, self.said) = (self.now, 0);
+                    (self.majority_heard, self.said, self.said_outside) = (self.now, 0, 0);
                     self.ask_again(&mut more);
                 }
                 Act::Deposed(number) => log::info!("no longer primary of round {}", number.round),
@@ -298,9 +315,9 @@
     pub fn on_word(&mut self, now: Millis, from: Node, word: Between, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         match word {
-            Between::Hear { epoch, leads, led, sure, others, duties } => {
+            Between::Hear { epoch, leads, led, sure, others, duties, standing } => {
                 self.duties.on_hear(self.now, from, &duties);
-                self.on_hear(from, epoch, leads, led, sure, &others, out);
+                self.on_hear(from, epoch, leads, led, sure, &others, standing, out);
             }
             Between::Ballot(duty, number) => {
                 if self.voters().contains(&from) && self.duties.on_ballot(self.now, from, duty, number) {
@@ -340,13 +357,7 @@
         let now = self.now;
         if now >= self.said + HEAR {
             self.said = now;
-            let epoch = self.agreement.epoch().map(|e| e.number).unwrap_or_default();
-            let (leads, led, others) = (self.agreement.leads().is_some(), self.has_primary(), self.live());
-            let sure = self.agreement.sure().map(|d| d.version);
-            for ip in self.known() {
-                let (others, duties) = (others.clone(), self.duties.mine());
-                out.push(Output::Send(ip, Between::Hear { epoch, leads, led, sure, others, duties }));
-            }
+            self.say_hear(out);
             // What was asked may have been lost with a line.
             self.agree(out, Agreement::again);
             let reads: Vec<u64> = self.calls.iter().filter_map(Call::nonce).collect();
--- a/crates/marker/src/core/hearing.rs
+++ b/crates/marker/src/core/hearing.rs
@@ -1,11 +1,11 @@
 //! Whom a marker hears, and who is said to be primary: what all trying goes by, and nothing else.
 
-use super::{Core, BROKE, HEAR, HEARD, KNOWN_MAX};
+use super::{Core, BROKE, HEAR, HEARD, HEAR_OUTSIDE, KNOWN_MAX};
 use crate::agreement::most;
 use crate::parts::{Millis, Output};
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
-use trunk::words::{Between, Document, Node, Number};
+use trunk::words::{Between, Document, Node, Number, Standing};
 
 pub(super) struct Heard {
     pub(super) node: Node,
@@ -14,9 +14,15 @@
     pub(super) led: bool,
     pub(super) sure: Option<u32>,
     pub(super) sure_sent: Millis,
+    pub(super) standing: Standing,
 }
 
 impl Heard {
+    /// One that others name, and that has said nothing yet.
+    fn named(node: Node) -> Heard {
+        Heard { node, at: None, led: false, sure: None, sure_sent: 0, standing: Standing::default() }
+    }
+
     pub(super) fn lately(&self, now: Millis) -> bool {
         self.at.is_some_and(|at| now < at + HEARD)
     }
@@ -44,6 +50,33 @@
         self.agreement.epoch().is_some_and(|e| most(&e.core, |node| self.hears(*node)))
     }
 
+    /// Says to all that this marker is there; to and from those outside the core less often.
+    pub(super) fn say_hear(&mut self, out: &mut Vec<Output>) {
+        let epoch = self.agreement.epoch().map(|e| e.number).unwrap_or_default();
+        let (leads, led, others) = (self.agreement.leads().is_some(), self.has_primary(), self.live());
+        let sure = self.agreement.sure().map(|d| d.version);
+        let all = self.now >= self.said_outside + HEAR_OUTSIDE;
+        if all {
+            self.said_outside = self.now;
+        }
+        let core = self.agreement.epoch().map(|e| e.core.clone()).unwrap_or_default();
+        let inside = |ip: Ipv4Addr| core.iter().any(|node| node.ip == ip);
+        let mine = core.contains(&self.me());
+        for ip in self.known().into_iter().filter(|ip| all || mine && inside(*ip)) {
+            let (others, duties, standing) = (others.clone(), self.duties.mine(), self.standing.clone());
+            out.push(Output::Send(ip, Between::Hear { epoch, leads, led, sure, others, duties, standing }));
+        }
+    }
+
+    /// What is known of a marker's standing; of one that was never heard nothing is held against it.
+    pub(super) fn standing(&self, node: Node) -> Standing {
+        if node == self.me() {
+            return self.standing.clone();
+        }
+        let heard = self.heard.get(&node.ip).filter(|heard| heard.node == node);
+        heard.map(|heard| heard.standing.clone()).unwrap_or_default()
+    }
+
     /// The seeds as a new settings file names them.
     pub fn reseed(&mut self, seeds: &[Ipv4Addr]) {
         self.seeds = seeds.to_vec();
@@ -68,6 +101,7 @@
         led: bool,
         sure: Option<u32>,
         others: &[Ipv4Addr],
+        standing: Standing,
         out: &mut Vec<Output>,
     ) {
         let (now, me) = (self.now, self.me());
@@ -75,21 +109,15 @@
             return;
         }
         if self.heard.len() < KNOWN_MAX || self.heard.contains_key(&from.ip) {
-            let heard =
-                self.heard.entry(from.ip).or_insert(Heard { node: from, at: None, led, sure, sure_sent: 0 });
+            let heard = self.heard.entry(from.ip).or_insert_with(|| Heard::named(from));
             (heard.node, heard.at, heard.led, heard.sure) = (from, Some(now), led, sure);
+            heard.standing = standing;
         }
         // Those that others hear are dialled too; they are heard once they answer.
         for ip in others.iter().filter(|ip| **ip != me.ip) {
             if self.heard.len() < KNOWN_MAX {
                 let node = Node { ip: *ip, folder: 0 };
-                self.heard.entry(*ip).or_insert(Heard {
-                    node,
-                    at: None,
-                    led: false,
-                    sure: None,
-                    sure_sent: 0,
-                });
+                self.heard.entry(*ip).or_insert_with(|| Heard::named(node));
             }
         }
         let mine = self.agreement.epoch().map(|e| e.number).unwrap_or_default();
@@ -123,6 +151,6 @@
         // Calls wait for the next one rather than being sent to where nobody is, and the others are told at once.
         self.primary = Some((ip, at.min(self.now.saturating_sub(HEARD))));
         self.suspect_after = HEARD + self.rng.u64(BROKE.0..BROKE.1);
-        self.said = 0;
+        (self.said, self.said_outside) = (0, 0);
     }
 }
--- a/crates/marker/src/core/rounds.rs
+++ b/crates/marker/src/core/rounds.rs
@@ -1,17 +1,20 @@
 //! When a round is begun, who belongs to the core and holds what in the epoch to be, and how a marker leaves.
 
 use super::hearing::Heard;
-use super::{Core, ALONE, DISK, FINISH, HEAR, LOST, SLOW, SLOW_FOR, SUSPECT};
+use super::{Core, ALONE, DISK, FINISH, HEAR, LOST, SLOW, SLOW_FOR, STANDS_IN, SUSPECT};
 use crate::agreement::{most, Agreement};
 use crate::parts::{Millis, Output};
 use std::collections::BTreeSet;
-use trunk::words::{Between, Epoch, Node, Number};
+use trunk::words::{Between, Epoch, Node, Number, Standing};
 
 impl Core {
     pub(super) fn begin_round(&mut self, out: &mut Vec<Output>) {
         if self.agreement.is_holding() {
             log::info!("a round while a configuration is on its way");
         }
+        // A primary that misses nobody need not take whoever answers first.
+        let core = self.voters();
+        self.calm = self.agreement.leads().is_some() && core.iter().all(|node| self.hears(*node));
         let mut begun = None;
         self.agree(out, |a, acts| begun = a.begin(acts));
         if begun.is_some() {
@@ -29,10 +32,19 @@
     ) -> Option<Epoch> {
         let core = self.next_core(newest);
         let wanted = self.losses.min(core.len().saturating_sub(1));
-        let can = |node: &&Node| **node != self.me() && willing.contains(node);
+        let calm = |node: &Node| self.calm && newest.core.contains(node) && self.hears(*node);
+        let can = |node: &&Node| **node != self.me() && (willing.contains(node) || calm(node));
         let mut backups: Vec<Node> = core.iter().filter(can).copied().collect();
         let is_slow = |node: &Node| self.slow.get(&node.ip).is_some_and(|until| self.now < *until);
-        backups.sort_by_key(|node| (is_slow(node), !self.hears(*node), !newest.holds(*node), *node));
+        // Of those that are as good, zones without a holder come first, then who holds already.
+        let rank = |node: &Node| (is_slow(node), !self.hears(*node), self.standing(*node).forgets);
+        let mut zones = vec![self.standing.zone.clone()];
+        for place in 0..wanted.min(backups.len()) {
+            let zone = |node: &Node| self.standing(*node).zone;
+            let again = |node: &Node| zones.iter().filter(|z| **z == zone(node)).count();
+            backups[place..].sort_by_key(|node| (rank(node), again(node), !newest.holds(*node), *node));
+            zones.push(zone(&backups[place]));
+        }
         backups.truncate(wanted);
         let primary = Some(self.me());
         (backups.len() == wanted).then(|| Epoch {
@@ -44,33 +56,55 @@
         })
     }
 
-    /// The core to be: with one that waits outside in the place of one that is lost, or as one more.
+    /// How large a core must be to decide while as many as `machine-losses` of it are lost.
+    pub(super) fn core_needed(&self) -> usize {
+        (2 * self.losses + 1).max(3)
+    }
+
+    /// The core to be: with one that waits outside in the place of one that is lost or forgets, or as one more. One that
+    /// forgets waits longer, and gives its place to any that does not.
     pub(super) fn next_core(&self, newest: &Epoch) -> Vec<Node> {
         let mut core = newest.core.clone();
         // One change at a time, and only from a core that has settled.
         if newest.core != newest.before {
             return core;
         }
-        let live = self.heard.values().filter(|h| h.lately(self.now)).map(|h| h.node);
-        for node in live.filter(|node| !newest.core.contains(node)) {
-            let same = core.iter().position(|other| other.ip == node.ip);
-            let place = same.or_else(|| core.iter().position(|other| self.is_lost(*other)));
-            if let Some(place) = place {
-                core[place] = node;
-            } else if core.len() < (2 * self.losses + 1).max(3) {
-                core.push(node);
-            } else {
-                continue;
-            }
-            core.sort();
+        let outside = self.heard.values().filter(|h| h.lately(self.now) && !newest.core.contains(&h.node));
+        let mut outside: Vec<(Node, &Standing)> = outside.map(|h| (h.node, &h.standing)).collect();
+        let members = |zone: &str| core.iter().filter(|node| self.standing(**node).zone == zone).count();
+        // Whoever comes in the place of its own former self comes first, then whoever keeps what it holds, then the
+        // zone with the fewest.
+        outside.sort_by_key(|(node, standing)| {
+            let back = core.iter().any(|other| other.ip == node.ip);
+            (standing.leaves, !back, standing.forgets, members(&standing.zone), *node)
+        });
+        let Some((node, standing)) = outside.first().filter(|(_, standing)| !standing.leaves) else {
             return core;
+        };
+        let patience = if standing.forgets { STANDS_IN } else { LOST };
+        let silent = |other: &Node| self.silent_for(*other) > patience;
+        let forgets = |other: &Node| *other != self.me() && self.standing(*other).forgets;
+        let place = core.iter().position(|other| other.ip == node.ip);
+        let place = place.or_else(|| core.iter().position(silent));
+        let place = place.or_else(|| core.iter().position(forgets).filter(|_| !standing.forgets));
+        let waited = !standing.forgets || self.now > self.started + STANDS_IN;
+        match place {
+            Some(place) => core[place] = *node,
+            None if core.len() < self.core_needed() && waited => core.push(*node),
+            None => return core,
         }
+        core.sort();
         core
     }
 
-    pub(super) fn is_lost(&self, node: Node) -> bool {
+    /// For how long a marker has said nothing, ms.
+    fn silent_for(&self, node: Node) -> Millis {
         let last = self.heard.get(&node.ip).and_then(|heard| heard.at).unwrap_or(self.started);
-        node != self.me() && self.now > last + LOST
+        if node == self.me() {
+            0
+        } else {
+            self.now.saturating_sub(last)
+        }
     }
 
     pub(super) fn watch_as_other(&mut self, out: &mut Vec<Output>) {
@@ -106,6 +140,15 @@
             log::info!("most of the core is not heard");
             return self.agree(out, Agreement::depose);
         }
+        let keeps = |node: &&Node| self.hears(**node) && !self.standing(**node).forgets;
+        if let Some(node) = backups.iter().find(keeps).filter(|_| self.standing.forgets) {
+            if !self.agreement.is_holding() && now >= self.next_round {
+                log::info!("another with a disk takes over");
+                self.next_round = now + SLOW_FOR;
+                out.push(Output::Send(node.ip, Between::HandOver(number)));
+                return self.agree(out, Agreement::depose);
+            }
+        }
         if self.ticket > self.written && now > self.writing_since + DISK {
             log::info!("the disk does not answer");
             self.next_round = now + SLOW_FOR;
--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -267,7 +267,7 @@
 pub async fn serve(settings: Settings, control: SocketAddrV4) -> Result<(), Failure> {
     let seeds = ips(&settings);
     let Found { mut store, kept, servers, forgot } = open(&settings).await?;
-    let first_start = settings.first_start && settings.folder.is_some() && !forgot;
+    let first_start = settings.first_start && !forgot;
     let keeping = match kept {
         Some(kept) if kept.node.ip == settings.ip => kept,
         _ => {
@@ -287,7 +287,8 @@
 
     let inner = listen(SocketAddr::from((settings.ip, settings.internal_port))).await?;
     let outer = listen(control.into()).await?;
-    let core = Core::new(keeping, &seeds, settings.losses, fastrand::u64(..), 0);
+    let core = Core::new(keeping, &seeds, settings.losses, fastrand::u64(..), 0)
+        .placed(&settings.zone, settings.folder.is_some());
     let beat = settings.beat.as_millis() as Millis;
     let marker = Marker::new(core, settings.zone.clone(), beat, servers);
     let exchange = Rc::new(Exchange {
--- a/crates/marker/tests/common/world.rs
+++ b/crates/marker/tests/common/world.rs
@@ -34,6 +34,9 @@
     pub deaf: bool,
     pub held: Vec<(Node, Between)>,
     pub founder: bool,
+    pub zone: &'static str,
+    /// It has no disk: what it holds ends with its process.
+    pub forgets: bool,
 }
 
 #[derive(Debug)]
@@ -90,6 +93,8 @@
             deaf: false,
             held: Vec::new(),
             founder: n < founders,
+            zone: "",
+            forgets: false,
         };
         World {
             now: 0,
@@ -123,7 +128,8 @@
         place.disk = Some(keeping.clone());
         place.start += 1;
         place.life = Life::Up;
-        place.core = Some(Core::new(keeping, &seeds, self.losses, seed, self.now));
+        let core = Core::new(keeping, &seeds, self.losses, seed, self.now);
+        place.core = Some(core.placed(place.zone, !place.forgets));
         let start = place.start;
         self.at(0, Event::Tick(n, start));
     }
@@ -131,6 +137,7 @@
     pub fn down(&mut self, n: usize) {
         let place = &mut self.places[n];
         (place.life, place.core) = (Life::Down, None);
+        place.disk = place.disk.take().filter(|_| !place.forgets);
         place.start += 1;
         place.held.clear();
     }
--- a/crates/marker/tests/core.rs
+++ b/crates/marker/tests/core.rs
@@ -319,8 +319,8 @@
     for now in (0..600).step_by(25) {
         let mut out = Vec::new();
         let (epoch, others) = (Number::default(), vec![ip(2)]);
-        let duties = Vec::new();
-        let hear = Between::Hear { epoch, leads: false, led: false, sure: None, others, duties };
+        let (duties, standing) = (Vec::new(), Default::default());
+        let hear = Between::Hear { epoch, leads: false, led: false, sure: None, others, duties, standing };
         a.on_word(now, node(1), hear, &mut out);
         for word in std::mem::take(&mut inbox) {
             a.on_word(now, node(1), word, &mut out);
--- a/crates/trunk/src/words.rs
+++ b/crates/trunk/src/words.rs
@@ -90,6 +90,17 @@
     }
 }
 
+/// What a marker says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Standing {
+    /// Its zone.
+    pub zone: String,
+    /// Whether what it holds ends with its process, as it has no disk.
+    pub forgets: bool,
+    /// Whether it was told to end.
+    pub leaves: bool,
+}
+
 /// Whether a server takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum State {
@@ -141,6 +152,8 @@
         others: Vec<Ipv4Addr>,
         /// The duties that the sender holds, with their numbers.
         duties: Vec<(Duty, Number)>,
+        /// What else there is to know of the sender.
+        standing: Standing,
     },
     /// Asks to keep no epoch below this one from now on.
     Prepare(Number),
