Leave the core before a change behind only once most of it has kept the change

Cause, found by the model once a fourth marker was in it: an epoch that changes the core and was kept by one marker only counted as the core's own for whoever came next. That one asked only the new core to keep its epoch; the marker that had been replaced and most of the old core knew of no change, and two primaries could lead in two cores that share too few (three markers, one replaced while it lives, one restart; one loss each). Change: until an epoch of a change was kept by both majorities, and by the sight of its own primary, whatever follows it needs both again. What the core before is, and that the core changes by one marker at a time, only from a settled core, is decided in the agreement now; core.rs can't break it. The price is one more round after a takeover in the middle of a change.

--- a/crates/marker/src/agreement.rs
+++ b/crates/marker/src/agreement.rs
@@ -9,8 +9,9 @@
 //! A round, begun by somebody who holds everything, goes: **Ask** (its own promise is on its own disk first, so that no
 //! number is ever used twice), **Prepare** (a majority promises to keep no epoch below its number and tells the newest
 //! that it keeps), **Copy** (the backups-to-be hold what the beginner holds), **Keep** (a majority keeps the new epoch).
-//! Only then is anything answered in it. An epoch that changes the core needs a majority of the core before as well,
-//! and is followed by one that changes nothing.
+//! Only then is anything answered in it. An epoch that changes the core, by one marker, needs a majority of the core
+//! before as well, and so does whatever follows it until one of its kind was kept by both majorities: only who saw that
+//! leaves the core before behind, with an epoch that changes nothing. No change is begun before that one.
 //!
 //! A marker whose folder was lost is another [`Node`]: it has no vote and holds nothing until an epoch names it.
 
@@ -83,6 +84,8 @@
     number: Number,
     step: Step,
     asked: BTreeSet<Node>,
+    /// The epoch that it follows, once that is known.
+    newest: Option<Epoch>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -106,6 +109,8 @@
     highest: u64,
     round: Option<Round>,
     leading: Option<Leading>,
+    /// An epoch that changes the core, and was kept by both majorities.
+    whole: Option<Number>,
     inbox: VecDeque<Between>,
 }
 
@@ -130,6 +135,7 @@
             highest: promised.round,
             round: None,
             leading: None,
+            whole: None,
             inbox: VecDeque::new(),
         }
     }
@@ -358,7 +364,7 @@
         self.learn_round(number.round);
         self.depose(acts);
         self.promised = number;
-        self.round = Some(Round { number, step: Step::Asking, asked });
+        self.round = Some(Round { number, step: Step::Asking, asked, newest: None });
         // Begun anew after a loss of power, the same number would name two epochs.
         acts.push(Act::Keep(Then::Ask(number)));
         Some(number)
@@ -396,6 +402,7 @@
             return;
         }
         if newest.holds(self.me) {
+            self.round.iter_mut().for_each(|round| round.newest = Some(newest.clone()));
             acts.push(Act::Choose { number, newest, willing });
         } else {
             // Somebody else has what was answered for.
@@ -403,9 +410,20 @@
         }
     }
 
-    /// The epoch that follows is chosen, of those who are willing: its backups are to hold what is held here.
-    pub fn copy(&mut self, next: Epoch, acts: &mut Vec<Act>) {
+    /// The epoch that follows is chosen, of those who are willing: its backups are to hold what is held here. Whose
+    /// majority has to agree beside that of its core is not a matter of choice, and a core that may not be ends the round.
+    pub fn copy(&mut self, mut next: Epoch, acts: &mut Vec<Act>) {
         let Some(round) = self.round.as_mut().filter(|r| r.number == next.number) else { return };
+        let Some(newest) = round.newest.take() else { return };
+        let settled = newest.core == newest.before;
+        let missing = newest.core.iter().filter(|node| !next.core.contains(node)).count();
+        let new = next.core.iter().filter(|node| !newest.core.contains(node)).count();
+        if missing > 1 || new > 1 || (missing + new > 0 && !settled) {
+            return self.give_up(acts);
+        }
+        // Of a change that may have been kept by few the core before may know nothing yet.
+        let left_behind = settled || self.whole == Some(newest.number);
+        next.before = if left_behind { newest.core } else { newest.before };
         round.step = Step::Copying(next.clone(), BTreeSet::new());
         acts.push(Act::GoesOn);
         let document = self.document.as_ref().map(|d| Document::clone(d));
@@ -448,6 +466,7 @@
             return;
         }
         let backups = epoch.backups.clone();
+        self.whole = Some(number).filter(|_| epoch.core != epoch.before);
         self.round = None;
         self.leading = Some(Leading { number, backups, holding: None, checks: BTreeMap::new() });
         acts.push(Act::Leads(number));
@@ -499,7 +518,7 @@
     /// Says again what nobody has answered: it may have been lost with a line. Whatever comes twice does no harm.
     pub fn again(&mut self, acts: &mut Vec<Act>) {
         let mut words: Vec<(Ipv4Addr, Between)> = Vec::new();
-        if let Some(Round { number, step, asked }) = &self.round {
+        if let Some(Round { number, step, asked, .. }) = &self.round {
             let document = || self.document.as_ref().map(|d| Document::clone(d));
             match step {
                 Step::Asking => {}
--- a/crates/marker/tests/model.rs
+++ b/crates/marker/tests/model.rs
@@ -1,6 +1,7 @@
 //! The agreement of the core in every order of events, exhaustively: the very code that runs, without time.
 //!
-//! Three markers, one loss to be borne. What was said is never taken back: any word comes in any order, any number of
+//! Three markers, one loss to be borne; also with a fourth that waits outside and takes a place, or one more; also five
+//! with two losses. What was said is never taken back: any word comes in any order, any number of
 //! times or never, also long after its sender has started again, so loss, doubles, delays, cuts and freezes are all
 //! among the orders; only what can change nothing any more is left out. A write is on disk at once or, for one marker at
 //! a time, at any later time and, where power is lost, never. Rounds may begin at any time, with either of the others
@@ -17,7 +18,27 @@
 use std::sync::Arc;
 use trunk::words::{Between, Document, Epoch, Node, Number};
 
-const MARKERS: usize = 3;
+/// How a round changes the core, if it may.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Change {
+    /// Not, but for a folder that was lost.
+    Nothing,
+    /// The last marker, which waits outside, takes the place of this one.
+    InPlaceOf(usize),
+    /// It is one more.
+    OneMore,
+}
+
+/// Where all begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Start {
+    /// From nothing.
+    Nothing,
+    /// From a primary, the first, that has answered.
+    Led,
+    /// The same, and it goes on to change the core so; only it keeps that epoch yet, and all others may hear of it.
+    Changing(Change),
+}
 
 /// How a rule is broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +60,8 @@
     KeptByOne,
     /// Whoever asks takes over, also one that holds nothing.
     AnybodyLeads,
+    /// The core before a change is left behind before most of it has kept the change.
+    LeavesBehind,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -47,10 +70,11 @@
     disks: Vec<Kept>,
     /// Writes that are not on disk yet, with what is done after.
     writes: Vec<Option<(Kept, BTreeSet<Then>)>>,
-    /// Whom each takes as its backup.
-    takes: Vec<usize>,
+    /// Whom each takes as backups, a bit a marker, and how it changes the core.
+    takes: Vec<(u8, Change)>,
     said: BTreeSet<(Node, usize, Arc<Between>)>,
     begun: u8,
+    changed: u8,
     lost_power: u8,
     wiped: u8,
     put: u32,
@@ -83,7 +107,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Event {
-    Begin { marker: usize, takes: usize },
+    Begin { marker: usize, takes: u8, change: Change },
     Put(usize),
     Read(usize),
     Written(usize),
@@ -97,8 +121,13 @@
     broken: Broken,
     /// Whose writes are on disk some time later; the others' are at once.
     late: Option<usize>,
-    /// Whether it begins with a primary that has answered, or with nothing.
-    led: bool,
+    start: Start,
+    /// How many there are, and how many of them found the core.
+    markers: usize,
+    founders: usize,
+    /// How many of the core may be lost: so many backups.
+    losses: u32,
+    changes: u8,
     /// Who begins rounds.
     begin: &'static [usize],
     rounds: u8,
@@ -124,7 +153,7 @@
             let mut more = Vec::new();
             match act {
                 Act::Say(to, word) => {
-                    let to = (0..MARKERS).find(|m| ip(*m) == to).unwrap();
+                    let to = (0..self.markers).find(|m| ip(*m) == to).unwrap();
                     let me = world.markers[n].me();
                     match (&word, self.broken) {
                         (Between::Hold(number, document), Broken::AnswersEarly) => {
@@ -157,6 +186,9 @@
                     world.writes[n] = Some((kept, thens.into_iter().chain([then]).collect()));
                 }
                 Act::Choose { number, newest, willing } => {
+                    if world.primaries.keys().any(|led| newest.number < *led && *led < number) {
+                        world.wrong = Some("an epoch that led is passed over");
+                    }
                     if let Some(next) = self.next(world, n, number, &newest, &willing) {
                         at(world, n).copy(next, &mut more);
                     }
@@ -213,17 +245,53 @@
         willing: &BTreeSet<Node>,
     ) -> Option<Epoch> {
         let me = world.markers[n].me();
+        let (takes, change) = world.takes[n];
         let mut core = newest.core.clone();
+        let now = |node: &Node| world.markers.iter().map(|m| m.me()).find(|m| m.ip == node.ip);
+        let waits = world.markers[self.markers - 1].me();
         if newest.core == newest.before {
-            let now = |node: &Node| world.markers.iter().map(|m| m.me()).find(|m| m.ip == node.ip);
             if let Some(place) = core.iter().position(|node| now(node) != Some(*node)) {
                 core[place] = now(&core[place])?;
-                core.sort();
+            } else if !core.contains(&waits) {
+                match change {
+                    Change::Nothing => {}
+                    Change::InPlaceOf(other) => {
+                        let place = core.iter().position(|node| node.ip == ip(other))?;
+                        core[place] = waits;
+                    }
+                    Change::OneMore => core.push(waits),
+                }
             }
+            core.sort();
+        }
+        let taken = |node: &&Node| (0..self.markers).any(|m| takes & 1 << m != 0 && ip(m) == node.ip);
+        let backups: Vec<Node> = core.iter().filter(taken).copied().collect();
+        let enough = backups.len() as u32 == takes.count_ones();
+        (enough && backups.iter().all(|node| willing.contains(node))).then(|| Epoch {
+            number,
+            core,
+            before: newest.core.clone(),
+            primary: Some(me),
+            backups,
+        })
+    }
+
+    /// All choices of backups.
+    fn choices(&self, n: usize) -> impl Iterator<Item = u8> + '_ {
+        (0..1 << self.markers)
+            .filter(move |takes: &u8| takes & 1 << n == 0 && takes.count_ones() == self.losses)
+    }
+
+    /// Every word comes, until nothing changes any more.
+    fn calm(&self, mut world: World) -> World {
+        while let Some(next) = world
+            .said
+            .iter()
+            .find_map(|(from, n, word)| self.next_state(&world, Event::Comes(*from, *n, word.clone())))
+        {
+            world = next;
         }
-        let backup = core.iter().find(|node| node.ip == ip(world.takes[n]) && willing.contains(node));
-        let backups = vec![*backup?];
-        Some(Epoch { number, core, before: newest.core.clone(), primary: Some(me), backups })
+        world
     }
 
     fn step(&self, world: &mut World, n: usize, take: impl FnOnce(&mut Agreement, &mut Vec<Act>)) {
@@ -266,16 +334,18 @@
     type Action = Event;
 
     fn init_states(&self) -> Vec<World> {
-        let seeds: Vec<Ipv4Addr> = (0..MARKERS).map(ip).collect();
-        let disks: Vec<Kept> = seeds.iter().map(|ip| begin(*ip, &seeds, true, 0).into()).collect();
+        let seeds: Vec<Ipv4Addr> = (0..self.founders).map(ip).collect();
+        let first = |n: usize| begin(ip(n), &seeds, n < self.founders, 0);
+        let disks: Vec<Kept> = (0..self.markers).map(|n| first(n).into()).collect();
         let markers = disks.iter().map(|disk| Arc::new(Agreement::new(disk.clone().into()))).collect();
         let mut world = World {
             markers,
             disks,
-            writes: vec![None; MARKERS],
-            takes: vec![0; MARKERS],
+            writes: vec![None; self.markers],
+            takes: vec![(0, Change::Nothing); self.markers],
             said: BTreeSet::new(),
             begun: 0,
+            changed: 0,
             lost_power: 0,
             wiped: 0,
             put: 0,
@@ -286,28 +356,43 @@
             has_read: false,
             wrong: None,
         };
-        if self.led {
-            let calm = Core { late: None, broken: Broken::Nothing, ..*self };
-            for event in [Event::Begin { marker: 0, takes: 1 }, Event::Put(0)] {
-                world = calm.next_state(&world, event).unwrap();
-                // Every word comes, until nothing changes any more.
-                while let Some(next) = world.said.iter().find_map(|(from, n, word)| {
-                    calm.next_state(&world, Event::Comes(*from, *n, word.clone()))
-                }) {
-                    world = next;
-                }
+        let calm = Core { late: None, broken: Broken::Nothing, ..*self };
+        let takes = (1 << (self.losses + 1)) - 2;
+        if self.start != Start::Nothing {
+            for event in [Event::Begin { marker: 0, takes, change: Change::Nothing }, Event::Put(0)] {
+                world = calm.calm(calm.next_state(&world, event).unwrap());
             }
             assert_eq!((world.answered, world.put), (1, 1));
         }
+        if let Start::Changing(change) = self.start {
+            world = calm.next_state(&world, Event::Begin { marker: 0, takes, change }).unwrap();
+            while !world.said.iter().any(|(_, _, word)| matches!(**word, Between::Keep(_))) {
+                let next = |(from, n, word): &(Node, usize, Arc<Between>)| {
+                    calm.next_state(&world, Event::Comes(*from, *n, word.clone()))
+                };
+                world = world.said.iter().find_map(next).unwrap();
+            }
+            world.begun = 1;
+        }
         vec![world]
     }
 
     fn actions(&self, world: &World, actions: &mut Vec<Event>) {
-        for n in 0..MARKERS {
+        for n in 0..self.markers {
             // The first round is begun by one of them, which is all the same which.
             if world.begun < self.rounds && (world.begun > 0 || n == 0) && self.begin.contains(&n) {
-                let others = (0..MARKERS).filter(|m| *m != n && (world.begun > 0 || *m == 1));
-                actions.extend(others.map(|takes| Event::Begin { marker: n, takes }));
+                let mut changes = vec![Change::Nothing];
+                if world.changed < self.changes {
+                    let others = (0..self.founders).filter(|m| *m != n);
+                    changes.extend(others.map(Change::InPlaceOf).chain([Change::OneMore]));
+                }
+                for takes in self.choices(n).filter(|takes| world.begun > 0 || *takes == 2) {
+                    actions.extend(changes.iter().map(|change| Event::Begin {
+                        marker: n,
+                        takes,
+                        change: *change,
+                    }));
+                }
             }
             if world.writes[n].is_some() {
                 actions.push(Event::Written(n));
@@ -332,9 +417,10 @@
     fn next_state(&self, world: &World, event: Event) -> Option<World> {
         let mut next = world.clone();
         match event {
-            Event::Begin { marker, takes } => {
-                next.takes[marker] = takes;
+            Event::Begin { marker, takes, change } => {
+                next.takes[marker] = (takes, change);
                 next.begun += 1;
+                next.changed += u8::from(change != Change::Nothing);
                 self.step(&mut next, marker, |a, acts| {
                     a.begin(acts);
                 });
@@ -367,7 +453,7 @@
             }
             Event::Wiped(n) => {
                 next.wiped += 1;
-                let seeds: Vec<Ipv4Addr> = (0..MARKERS).map(ip).collect();
+                let seeds: Vec<Ipv4Addr> = (0..self.founders).map(ip).collect();
                 let drawn = u64::from(next.wiped);
                 next.disks[n] = begin(ip(n), &seeds, self.broken == Broken::KeepsItsName, drawn).into();
                 self.start(&mut next, n);
@@ -378,6 +464,11 @@
                     next.markers[n] = Arc::new(Agreement::new(keeping));
                     self.step(&mut next, n, |a, acts| a.take(from, Between::clone(&word), acts));
                 }
+                (Broken::LeavesBehind, Between::Promise(number, Some(epoch))) => {
+                    let epoch = Epoch { before: epoch.core.clone(), ..epoch.clone() };
+                    let word = Between::Promise(*number, Some(epoch));
+                    self.step(&mut next, n, |a, acts| a.take(from, word, acts));
+                }
                 (Broken::AnybodyLeads, Between::Promise(number, Some(epoch))) => {
                     let me = next.markers[n].me();
                     let mut epoch = epoch.clone();
@@ -421,7 +512,11 @@
 const CORE: Core = Core {
     broken: Broken::Nothing,
     late: None,
-    led: true,
+    start: Start::Led,
+    markers: 3,
+    founders: 3,
+    losses: 1,
+    changes: 0,
     begin: &[0, 1, 2],
     rounds: 3,
     versions: 2,
@@ -430,18 +525,44 @@
     reads: false,
 };
 
+/// The same with one more that waits outside.
+const FOUR: Core = Core { markers: 4, powers: 0, ..CORE };
+/// It takes the place of a member that is missed, and lives.
+const CHANGING: Start = Start::Changing(Change::InPlaceOf(2));
+
 #[test]
 fn every_rule_is_kept_in_every_order() {
     for (core, least) in [
         // Power is lost, two take over, somebody reads.
         (Core { reads: true, ..CORE }, 300_000),
         // All three begin from nothing; two win their first ballots.
-        (Core { led: false, versions: 1, powers: 0, ..CORE }, 100_000),
+        (Core { start: Start::Nothing, versions: 1, powers: 0, ..CORE }, 100_000),
         // The disk of the primary, then of its backup, is late.
         (Core { late: Some(0), ..CORE }, 400_000),
         (Core { late: Some(1), ..CORE }, 800_000),
         // A folder is lost, and power.
         (Core { wipes: 1, ..CORE }, 2_000_000),
+        // A fourth marker takes a place, or one more; the next change is begun by another.
+        (Core { rounds: 3, changes: 1, versions: 1, begin: &[0, 1], ..FOUR }, 140_000),
+        // A change is kept by few, power is lost by the one that takes over, its disk is late.
+        (
+            Core { start: CHANGING, rounds: 3, versions: 1, begin: &[1], powers: 1, late: Some(1), ..FOUR },
+            700_000,
+        ),
+        // Five, two losses to be borne: any two as backups.
+        (
+            Core {
+                markers: 5,
+                founders: 5,
+                losses: 2,
+                rounds: 2,
+                versions: 1,
+                begin: &[1],
+                powers: 0,
+                ..CORE
+            },
+            7_000,
+        ),
     ] {
         let (states, wrong) = explore(core);
         assert_eq!(wrong, None, "{core:?}");
@@ -459,6 +580,7 @@
         Core { broken: Broken::CopiesAgain, ..CORE },
         Core { broken: Broken::KeptByOne, ..CORE },
         Core { broken: Broken::AnybodyLeads, ..CORE },
+        Core { broken: Broken::LeavesBehind, start: CHANGING, versions: 1, begin: &[0, 1], ..FOUR },
         Core { broken: Broken::AsksEarly, late: Some(0), begin: &[0], rounds: 4, ..CORE },
     ] {
         let (_, wrong) = explore(core);
