Tell configurations by number and digest, and what differs between two of them

Cause: a change goes out whole, some 10 kB for a few bytes of a route, and a number alone does not say which contents stand under it. Nobody sends one yet. Proved by breaking: base compared by version only; digest of what is made not looked at; no bound on what is made; the tail left out; differences that save nothing. Each fails a test.

--- a/crates/trunk/src/lib.rs
+++ b/crates/trunk/src/lib.rs
@@ -1,7 +1,8 @@
 //! What the processes of the system say to each other, and the held connections that carry it.
 //!
-//! [`words`] has every message. [`frames`] cuts a stream of bytes into them. [`line`] joins both to a socket.
+//! [`words`] has every message. [`difference`] makes the configurations in them small. [`frames`] cuts a stream of bytes into them. [`line`] joins both to a socket.
 
+pub mod difference;
 pub mod frames;
 pub mod line;
 pub mod words;
--- a/crates/trunk/src/words.rs
+++ b/crates/trunk/src/words.rs
@@ -1,6 +1,7 @@
 //! Every message between two processes of the system.
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 use std::net::Ipv4Addr;
 
 /// A marker, as long as its folder lasts: one that comes back with an empty disk is another.
@@ -60,6 +61,79 @@
     pub bytes: Vec<u8>,
 }
 
+impl Document {
+    /// What tells it from every other.
+    pub fn revision(&self) -> Revision {
+        Revision { version: self.version, digest: Digest::of(&self.bytes) }
+    }
+}
+
+/// What tells contents from all others: the first 16 bytes of their SHA-256.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "u128", from = "u128")]
+pub struct Digest(pub [u8; 16]);
+
+impl Digest {
+    /// Of these bytes.
+    pub fn of(bytes: &[u8]) -> Digest {
+        let whole = Sha256::digest(bytes);
+        let mut first = [0; 16];
+        first.copy_from_slice(&whole[..16]);
+        Digest(first)
+    }
+}
+
+// As a number it takes 17 bytes of CBOR, as a list of numbers up to 33.
+impl From<Digest> for u128 {
+    fn from(digest: Digest) -> u128 {
+        u128::from_be_bytes(digest.0)
+    }
+}
+
+impl From<u128> for Digest {
+    fn from(number: u128) -> Digest {
+        Digest(number.to_be_bytes())
+    }
+}
+
+impl std::fmt::Display for Digest {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+/// A number and what stands under it: two that are equal are the same configuration, byte for byte.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Revision {
+    /// The version.
+    pub version: u32,
+    /// Of its bytes.
+    pub digest: Digest,
+}
+
+/// One configuration told as what differs from another; see [`crate::difference`].
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Difference {
+    /// What it can be applied to, and nothing else.
+    pub from: Revision,
+    /// What comes out, or it is refused.
+    pub to: Revision,
+    /// In order, what the new one is made of.
+    pub runs: Vec<Run>,
+}
+
+/// A part of a configuration: bytes of the old one, then new ones.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Run(
+    /// Where the old bytes begin.
+    pub u32,
+    /// How many they are.
+    pub u32,
+    /// What follows them.
+    #[serde(with = "bytes")]
+    pub Vec<u8>,
+);
+
 /// Byte strings, which CBOR knows, in place of lists of numbers.
 mod bytes {
     use serde::de::{Deserializer, Visitor};
