Confirm one content under a number, by a ledger that is held with the configuration

Cause: an order was answered as done where its version was not above the one held, whatever it held: of 5 "A", 5 "B", 5 "C" and 4 "D" all four were confirmed, and only "A" was kept. Ruled out: comparing with the held configuration only (knows nothing of older numbers, nor after a newer one); a ledger at the primary only (a takeover forgets it). Orders whose numbers are free are held, all that wait at once, before they are confirmed, also overtaken ones; what has an entry is confirmed or refused (409 conflict, a new kind) after the primary has made certain, as for a read, that it still is; below the ledger 503. Only calls of just that number and content are confirmed. /System.Status shows numbers-held, numbers-forgotten, orders-refused. The folder, words between markers and a copy change form: markers of the form before must all be stopped first.

--- a/crates/marker/src/agreement.rs
+++ b/crates/marker/src/agreement.rs
@@ -4,7 +4,9 @@
 //! code is what `tests/model.rs` explores in every order of events.
 //!
 //! What must never happen: two primaries that both answer; an answered configuration that is gone while no more
-//! than the stated number of folders are lost; a read that is older than an answer.
+//! than the stated number of folders are lost; a read that is older than an answer; two contents that are confirmed
+//! under one number. For the last the ledger is held like the configuration: what is not in it is entered, and held by
+//! all backups, before it is confirmed; what is in it is never entered anew.
 //!
 //! A round, begun by somebody who holds everything, goes: **Ask** (its own promise is on its own disk first, so that no
 //! number is ever used twice), **Prepare** (a majority promises to keep no epoch below its number and tells the newest
@@ -19,7 +21,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Between, Document, Epoch, Node, Number};
+use trunk::ledger::Known;
+use trunk::words::{Between, Change, Digest, Document, Epoch, Ledger, Node, Number, Whole};
 
 /// Reads that are being made certain at once; of more the oldest is forgotten, and asked for again.
 const CHECKS_MAX: usize = 512;
@@ -67,10 +70,47 @@
     Deposed(Number),
     /// This configuration can't be lost any more.
     Safe(Arc<Document>),
+    /// These numbers stand for these contents, which can't be lost any more: orders of just these are confirmed.
+    Entered(BTreeMap<u32, Digest>),
     /// Nothing newer than what is safe here was answered for before this check was begun.
     Certain(u64),
 }
 
+/// Orders of operators that are taken in at once.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Orders {
+    document: Option<Arc<Document>>,
+    entries: BTreeMap<u32, Digest>,
+}
+
+impl Orders {
+    /// Takes one in as well, unless there is one of its number.
+    pub fn add(&mut self, document: &Arc<Document>, digest: Digest) {
+        let version = document.version;
+        if self.entries.contains_key(&version) {
+            return;
+        }
+        self.entries.insert(version, digest);
+        // Whatever is below the newest is overtaken: of that only the content counts.
+        if self.document.as_ref().is_none_or(|d| d.version < version) {
+            self.document = Some(document.clone());
+        }
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn highest(&self) -> Option<u32> {
+        self.entries.last_key_value().map(|(version, _)| *version)
+    }
+
+    fn change(&self) -> Change {
+        Change { document: self.document.as_deref().cloned(), entries: self.entries.clone() }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Step {
     Asking,
@@ -92,8 +132,8 @@
 struct Leading {
     number: Number,
     backups: Vec<Node>,
-    /// The configuration on its way to be held, and who holds it.
-    holding: Option<(Arc<Document>, BTreeSet<Node>)>,
+    /// The orders on their way to be held, and who holds them.
+    holding: Option<(Orders, BTreeSet<Node>)>,
     checks: BTreeMap<u64, BTreeSet<Node>>,
 }
 
@@ -105,6 +145,7 @@
     copied: Number,
     epoch: Option<Epoch>,
     document: Option<Arc<Document>>,
+    ledger: Arc<Ledger>,
     sure: Option<Arc<Document>>,
     highest: u64,
     round: Option<Round>,
@@ -122,7 +163,7 @@
 impl Agreement {
     /// A marker that has kept this.
     pub fn new(keeping: Keeping) -> Agreement {
-        let Keeping { node, promised, copied, epoch, document, sure, ballots: _ } = keeping;
+        let Keeping { node, promised, copied, epoch, document, ledger, sure, ballots: _ } = keeping;
         // What was safe from loss still is, and may be in force before there is a primary again.
         let safe = document.clone().filter(|d| sure == Some(d.version));
         Agreement {
@@ -131,6 +172,7 @@
             copied,
             epoch,
             document,
+            ledger,
             sure: safe,
             highest: promised.round,
             round: None,
@@ -150,6 +192,7 @@
             copied: self.copied,
             epoch: self.epoch.clone(),
             document: self.document.clone(),
+            ledger: self.ledger.clone(),
             sure,
             ballots: BTreeMap::new(),
         }
@@ -175,6 +218,12 @@
         self.document.as_ref()
     }
 
+    /// Which content each number stands for, of what is held here. While this marker is primary and holds nothing that
+    /// is on its way, all of it is safe.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
     /// The newest configuration that can't be lost any more, as far as is known here.
     pub fn sure(&self) -> Option<&Arc<Document>> {
         self.sure.as_ref()
@@ -185,14 +234,14 @@
         self.leading.as_ref().map(|l| (l.number, l.backups.as_slice()))
     }
 
-    /// Those who do not yet hold the configuration that is on its way.
+    /// Those who do not yet hold the orders that are on their way.
     pub fn late(&self) -> Vec<Node> {
         let holding = self.leading.iter().filter_map(|l| l.holding.as_ref().map(|(_, held)| (l, held)));
         let late = holding.flat_map(|(l, held)| l.backups.iter().filter(|n| !held.contains(n)));
         late.copied().collect()
     }
 
-    /// Whether a configuration is on its way to be held.
+    /// Whether orders are on their way to be held.
     pub fn is_holding(&self) -> bool {
         self.leading.as_ref().is_some_and(|l| l.holding.is_some())
     }
@@ -271,10 +320,10 @@
                 acts.push(Act::Keep(Then::Promise(from.ip, number)));
             }
             Between::Promise(number, epoch) => self.on_promise(from, number, epoch, acts),
-            Between::Copy(number, document) => {
+            Between::Copy(number, Whole { document, ledger }) => {
                 // A second copy of one round may be older than what was held since.
                 if number > self.copied {
-                    self.document = document.map(Arc::new);
+                    (self.document, self.ledger) = (document.map(Arc::new), Arc::new(ledger));
                 }
                 (self.promised, self.copied) = (number, number);
                 acts.push(Act::Keep(Then::Copied(from.ip, number)));
@@ -290,15 +339,14 @@
                 self.learn_round(number.round);
                 self.yield_to(number, acts);
             }
-            Between::Hold(number, document) => {
+            Between::Hold(number, Change { document, entries }) => {
                 if number != self.promised {
                     return self.say(from.ip, Between::Over(self.promised), acts);
                 }
-                let version = document.version;
-                if self.document.as_ref().is_none_or(|d| d.version < version) {
-                    self.document = Some(Arc::new(document));
-                }
-                acts.push(Act::Keep(Then::Held(from.ip, number, version)));
+                let orders = Orders { document: document.map(Arc::new), entries };
+                let Some(highest) = orders.highest() else { return };
+                self.enter(orders);
+                acts.push(Act::Keep(Then::Held(from.ip, number, highest)));
             }
             Between::Held(number, version) => self.on_held(from, number, version, acts),
             Between::Check(number, nonce) if number == self.promised => {
@@ -426,9 +474,9 @@
         next.before = if left_behind { newest.core } else { newest.before };
         round.step = Step::Copying(next.clone(), BTreeSet::new());
         acts.push(Act::GoesOn);
-        let document = self.document.as_ref().map(|d| Document::clone(d));
+        let whole = self.whole();
         for node in &next.backups {
-            self.say(node.ip, Between::Copy(next.number, document.clone()), acts);
+            self.say(node.ip, Between::Copy(next.number, whole.clone()), acts);
         }
         if next.backups.is_empty() {
             self.copied_all(acts);
@@ -436,6 +484,10 @@
         self.work(acts);
     }
 
+    fn whole(&self) -> Whole {
+        Whole { document: self.document.as_deref().cloned(), ledger: Ledger::clone(&self.ledger) }
+    }
+
     fn on_copied(&mut self, from: Node, number: Number, acts: &mut Vec<Act>) {
         let Some(round) = self.round.as_mut().filter(|r| r.number == number) else { return };
         let Step::Copying(epoch, copied) = &mut round.step else { return };
@@ -487,31 +539,49 @@
         acts.push(Act::Safe(document));
     }
 
-    /// As primary: has this configuration held by all backups, if it is newer than what is held and nothing else is on
-    /// its way.
-    pub fn hold(&mut self, document: Arc<Document>, acts: &mut Vec<Act>) {
-        let newer = self.document.as_ref().is_none_or(|d| d.version < document.version);
-        let Some(leading) = self.leading.as_mut().filter(|l| l.holding.is_none() && newer) else { return };
+    /// Takes into what is held what is free and newer.
+    fn enter(&mut self, orders: Orders) {
+        let ledger = Arc::make_mut(&mut self.ledger);
+        orders.entries.into_iter().for_each(|(version, digest)| ledger.enter(version, digest));
+        if let Some(document) = orders.document {
+            if self.document.as_ref().is_none_or(|d| d.version < document.version) {
+                self.document = Some(document);
+            }
+        }
+    }
+
+    /// As primary: has these orders held by all backups, as far as their numbers are free, if nothing else is on its
+    /// way. An order below what is held changes nothing but the ledger.
+    pub fn hold(&mut self, mut orders: Orders, acts: &mut Vec<Act>) {
+        let newest = self.document.as_ref().map(|d| d.version);
+        orders.entries.retain(|version, _| self.ledger.known(*version) == Known::Free);
+        let entries = &orders.entries;
+        let newer = |d: &Arc<Document>| newest < Some(d.version) && entries.contains_key(&d.version);
+        orders.document = orders.document.filter(newer);
+        let Some(highest) = orders.highest() else { return };
+        let Some(leading) = self.leading.as_mut().filter(|l| l.holding.is_none()) else { return };
         let (number, backups) = (leading.number, leading.backups.clone());
-        leading.holding = Some((document.clone(), BTreeSet::new()));
-        self.document = Some(document.clone());
+        leading.holding = Some((orders.clone(), BTreeSet::new()));
         for node in backups {
-            self.say(node.ip, Between::Hold(number, Document::clone(&document)), acts);
+            self.say(node.ip, Between::Hold(number, orders.change()), acts);
         }
-        acts.push(Act::Keep(Then::Held(self.me.ip, number, document.version)));
+        self.enter(orders);
+        acts.push(Act::Keep(Then::Held(self.me.ip, number, highest)));
         self.work(acts);
     }
 
-    fn on_held(&mut self, from: Node, number: Number, version: u32, acts: &mut Vec<Act>) {
+    fn on_held(&mut self, from: Node, number: Number, highest: u32, acts: &mut Vec<Act>) {
         let Some(leading) = self.leading.as_mut().filter(|l| l.number == number) else { return };
-        let Some((document, held)) = leading.holding.as_mut().filter(|(d, _)| d.version == version) else {
+        let Some((_, held)) = leading.holding.as_mut().filter(|(o, _)| o.highest() == Some(highest)) else {
             return;
         };
         held.insert(from);
         if leading.backups.iter().chain([&self.me]).all(|node| held.contains(node)) {
-            let document = document.clone();
-            leading.holding = None;
-            self.learn_sure(document, acts);
+            let Some((orders, _)) = leading.holding.take() else { return };
+            if let Some(document) = orders.document {
+                self.learn_sure(document, acts);
+            }
+            acts.push(Act::Entered(orders.entries));
         }
     }
 
@@ -519,7 +589,6 @@
     pub fn again(&mut self, acts: &mut Vec<Act>) {
         let mut words: Vec<(Ipv4Addr, Between)> = Vec::new();
         if let Some(Round { number, step, asked, .. }) = &self.round {
-            let document = || self.document.as_ref().map(|d| Document::clone(d));
             match step {
                 Step::Asking => {}
                 Step::Preparing(promises) => {
@@ -528,7 +597,7 @@
                 }
                 Step::Copying(..) => {
                     let left = self.not_copied().into_iter();
-                    words.extend(left.map(|n| (n.ip, Between::Copy(*number, document()))));
+                    words.extend(left.map(|n| (n.ip, Between::Copy(*number, self.whole()))));
                 }
                 Step::Keeping(epoch, kept) => {
                     let all: BTreeSet<&Node> = epoch.core.iter().chain(&epoch.before).collect();
@@ -537,10 +606,9 @@
                 }
             }
         }
-        if let Some(Leading { number, holding: Some((document, _)), .. }) = &self.leading {
-            words.extend(
-                self.late().into_iter().map(|n| (n.ip, Between::Hold(*number, Document::clone(document)))),
-            );
+        if let Some(Leading { number, holding: Some((orders, _)), .. }) = &self.leading {
+            let late = self.late().into_iter();
+            words.extend(late.map(|n| (n.ip, Between::Hold(*number, orders.change()))));
         }
         // What it says to itself is on its way to the disk.
         let me = self.me.ip;
--- a/crates/marker/src/core.rs
+++ b/crates/marker/src/core.rs
@@ -9,14 +9,13 @@
 
 use crate::agreement::{Act, Agreement, Then};
 use crate::duties::Duties;
-use crate::parts::{Keeping, Millis, Output, Reply};
+use crate::parts::{Keeping, Millis, Output};
 use hearing::Heard;
-use orders::{Asked, Call};
-use plugboard::kinds::Kind;
+use orders::Call;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Between, Document, Duty, Epoch, Node, Number, Standing};
+use trunk::words::{Between, Document, Duty, Epoch, Ledger, Node, Number, Standing};
 
 /// How often a marker says that it is there.
 const HEAR: Millis = 150;
@@ -73,6 +72,10 @@
     pub leads: bool,
     /// The newest configuration that can't be lost any more.
     pub sure: Option<u32>,
+    /// How many numbers are held here with their contents, and the highest that was forgotten.
+    pub numbers: (usize, Option<u32>),
+    /// Orders that this marker has refused for their number since its start.
+    pub refused: u64,
     /// Rounds begun and won here.
     pub rounds: (u64, u64),
     /// Who holds each duty, by what is heard here, and under which number.
@@ -103,6 +106,7 @@
     majority_heard: Millis,
     slow: BTreeMap<Ipv4Addr, Millis>,
     calls: Vec<Call>,
+    refused: u64,
     nonce: u64,
     ticket: u64,
     written: u64,
@@ -125,6 +129,7 @@
         copied: zero,
         epoch: None,
         document: None,
+        ledger: Arc::new(Ledger::default()),
         sure: None,
         ballots: BTreeMap::new(),
     }
@@ -180,6 +185,7 @@
             majority_heard: now,
             slow: BTreeMap::new(),
             calls: Vec::new(),
+            refused: 0,
             nonce: 0,
             ticket: 0,
             written: 0,
@@ -207,6 +213,8 @@
             epoch: self.agreement.epoch().cloned(),
             leads: self.agreement.leads().is_some(),
             sure: self.agreement.sure().map(|d| d.version),
+            numbers: (self.agreement.ledger().entries().len(), self.agreement.ledger().forgotten()),
+            refused: self.refused,
             rounds: self.rounds,
             duties: self.duties.holders(self.now),
         }
@@ -258,6 +266,7 @@
                 None => {}
             }
         }
+        self.go_on(out);
     }
 
     fn voters(&self) -> Vec<Node> {
@@ -294,17 +303,8 @@
                 }
                 Act::Deposed(number) => log::info!("no longer primary of round {}", number.round),
                 Act::Safe(document) => self.on_safe(document, out),
-                Act::Certain(nonce) => {
-                    let sure = self.agreement.sure().cloned();
-                    self.answer(
-                        |asked| matches!(asked, Asked::Read { nonce: n } if *n == nonce),
-                        out,
-                        |_| match &sure {
-                            Some(document) => Reply::document(document.clone()),
-                            None => Reply::fault(Kind::Unknown, "there is no configuration yet"),
-                        },
-                    );
-                }
+                Act::Entered(entries) => self.on_entered(&entries, out),
+                Act::Certain(nonce) => self.on_certain(nonce, out),
             }
             // What follows from an act comes before the other acts.
             more.into_iter().rev().for_each(|act| acts.push_front(act));
@@ -360,8 +360,8 @@
             self.say_hear(out);
             // What was asked may have been lost with a line.
             self.agree(out, Agreement::again);
-            let reads: Vec<u64> = self.calls.iter().filter_map(Call::nonce).collect();
-            reads.into_iter().for_each(|nonce| self.agree(out, |a, acts| a.check(nonce, acts)));
+            let checks: Vec<u64> = self.calls.iter().filter_map(Call::nonce).collect();
+            checks.into_iter().for_each(|nonce| self.agree(out, |a, acts| a.check(nonce, acts)));
         }
         let core = self.agreement.epoch().into_iter().flat_map(|e| e.core.iter()).map(|n| n.ip);
         let kept: BTreeSet<Ipv4Addr> = core.chain(self.seeds.iter().copied()).collect();
--- a/crates/marker/src/core/orders.rs
+++ b/crates/marker/src/core/orders.rs
@@ -1,15 +1,28 @@
 //! Calls of operators at one marker: which wait, and what each is answered once that is certain.
+//!
+//! An order is its number and its content. It is confirmed once just these are held by all who have to; one whose number
+//! is free is held first. Where the number stands for something already, also one that was confirmed long ago, the
+//! primary makes certain, as for a read, that it still is primary before it confirms or refuses.
 
 use super::{Core, CALL, CALLS_MAX, HEARD};
-use crate::agreement::Act;
+use crate::agreement::{Act, Orders};
 use crate::parts::{Millis, Output, Reply};
 use plugboard::kinds::Kind;
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use trunk::words::{Between, Document};
+use trunk::ledger::Known;
+use trunk::words::{Between, Digest, Document};
 
 pub(super) enum Asked {
-    Replace(Arc<Document>),
-    Read { nonce: u64 },
+    /// With the number of its check, where the ledger says what it is answered.
+    Replace {
+        document: Arc<Document>,
+        digest: Digest,
+        nonce: Option<u64>,
+    },
+    Read {
+        nonce: u64,
+    },
 }
 
 pub(super) struct Call {
@@ -19,31 +32,69 @@
 }
 
 impl Call {
-    /// Of a read that waits: the number of its check.
+    /// The number of the check that it waits for.
     pub(super) fn nonce(&self) -> Option<u64> {
         match self.asked {
             Asked::Read { nonce } => Some(nonce),
-            Asked::Replace(_) => None,
+            Asked::Replace { nonce, .. } => nonce,
         }
     }
 }
 
 impl Core {
     pub(super) fn on_safe(&mut self, document: Arc<Document>, out: &mut Vec<Output>) {
-        let version = document.version;
         if self.agreement.leads().is_some() {
             for ip in self.live() {
                 out.push(Output::Send(ip, Between::Sure(Document::clone(&document))));
             }
         }
-        out.push(Output::Sure(document));
+        out.push(Output::Sure(document.clone()));
+        // Also where another marker is primary and says so. Of a lower number nothing follows, nor of another content.
         self.answer(
-            |asked| matches!(asked, Asked::Replace(d) if d.version <= version),
+            |asked| matches!(asked, Asked::Replace { document: d, .. } if *d == document),
             out,
             |_| Reply::done(),
         );
     }
 
+    /// Confirms the orders that have become safe, each by its number and its content.
+    pub(super) fn on_entered(&mut self, entries: &BTreeMap<u32, Digest>, out: &mut Vec<Output>) {
+        let is_in = |document: &Document, digest: &Digest| entries.get(&document.version) == Some(digest);
+        self.answer(
+            |asked| matches!(asked, Asked::Replace { document, digest, .. } if is_in(document, digest)),
+            out,
+            |_| Reply::done(),
+        );
+    }
+
+    /// What was checked under this number is certain: this marker was primary after the call had come.
+    pub(super) fn on_certain(&mut self, nonce: u64, out: &mut Vec<Output>) {
+        let Some(place) = self.calls.iter().position(|call| call.nonce() == Some(nonce)) else { return };
+        let call = self.calls.remove(place);
+        let reply = match &call.asked {
+            Asked::Read { .. } => match self.agreement.sure() {
+                Some(document) => Reply::document(document.clone()),
+                None => Reply::fault(Kind::Unknown, "there is no configuration yet"),
+            },
+            Asked::Replace { document, digest, .. } => self.by_ledger(document.version, *digest),
+        };
+        out.push(Output::Answer(call.id, reply));
+    }
+
+    /// What an order is answered whose number was not free when its check began.
+    fn by_ledger(&mut self, version: u32, digest: Digest) -> Reply {
+        match self.agreement.ledger().known(version) {
+            Known::Content(held) if held == digest => Reply::done(),
+            Known::Content(held) => {
+                self.refused += 1;
+                log::info!("{version:08x} stands for {held}, and {digest} is refused");
+                let what = format!("version {version:08x} stands for content {held}, and this is {digest}");
+                Reply::fault(Kind::Conflict, what)
+            }
+            Known::Forgotten | Known::Free => forgotten(version),
+        }
+    }
+
     /// Answers the calls that are meant, where an answer to one is certain.
     pub(super) fn answer(
         &mut self,
@@ -62,7 +113,8 @@
 
     /// A valid configuration comes from an operator.
     pub fn on_replace(&mut self, now: Millis, id: u64, document: Document, out: &mut Vec<Output>) {
-        self.on_call(now, id, Asked::Replace(Arc::new(document)), out);
+        let digest = Digest::of(&document.bytes);
+        self.on_call(now, id, Asked::Replace { document: Arc::new(document), digest, nonce: None }, out);
     }
 
     /// An operator asks for the newest configuration.
@@ -103,31 +155,49 @@
         if self.agreement.is_holding() {
             return;
         }
-        let sure = self.agreement.sure().map(|d| d.version);
-        self.answer(
-            |asked| matches!(asked, Asked::Replace(d) if sure.is_some_and(|sure| d.version <= sure)),
-            out,
-            |_| Reply::done(),
-        );
-        // The newest that waits goes first: whatever is below it is overtaken, and answered with it.
-        let wanted = self.calls.iter().filter_map(|call| match &call.asked {
-            Asked::Replace(document) => Some(document),
-            Asked::Read { .. } => None,
-        });
-        if let Some(document) = wanted.max_by_key(|d| d.version).cloned() {
+        // All whose numbers are free go at once: the newest is in force, what is below it is overtaken. Of two contents
+        // under one number the first goes, and the other waits for what becomes of it.
+        let (mut orders, mut checks, mut lost) = (Orders::default(), Vec::new(), Vec::new());
+        for call in &mut self.calls {
+            let Asked::Replace { document, digest, nonce: nonce @ None } = &mut call.asked else { continue };
+            match self.agreement.ledger().known(document.version) {
+                Known::Free => orders.add(document, *digest),
+                Known::Content(_) => {
+                    self.nonce += 1;
+                    *nonce = Some(self.nonce);
+                    checks.push(self.nonce);
+                }
+                Known::Forgotten => lost.push((call.id, document.version)),
+            }
+        }
+        for (id, version) in lost {
+            self.calls.retain(|call| call.id != id);
+            out.push(Output::Answer(id, forgotten(version)));
+        }
+        for nonce in checks {
+            self.agree(out, |a, acts| a.check(nonce, acts));
+        }
+        if !orders.is_empty() {
             self.holding_since = self.now;
-            self.agree(out, |a, acts| a.hold(document, acts));
+            self.agree(out, |a, acts| a.hold(orders, acts));
         }
     }
 
-    /// Reads that wait are begun again in a new epoch.
+    /// Calls that wait for a check begin it again in a new epoch.
     pub(super) fn ask_again(&mut self, acts: &mut Vec<Act>) {
         for call in &mut self.calls {
-            if let Asked::Read { nonce } = &mut call.asked {
-                self.nonce += 1;
-                *nonce = self.nonce;
-                self.agreement.check(self.nonce, acts);
-            }
+            let nonce = match &mut call.asked {
+                Asked::Read { nonce } | Asked::Replace { nonce: Some(nonce), .. } => nonce,
+                Asked::Replace { nonce: None, .. } => continue,
+            };
+            self.nonce += 1;
+            *nonce = self.nonce;
+            self.agreement.check(self.nonce, acts);
         }
     }
 }
+
+/// No clear answer: whether the number stands for this content is not known any more.
+fn forgotten(version: u32) -> Reply {
+    Reply::fault(Kind::Uncertain, format!("version {version:08x} is below those that are remembered"))
+}
--- a/crates/marker/src/parts.rs
+++ b/crates/marker/src/parts.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Between, Document, Down, Duty, Epoch, Instance, Node, Number};
+use trunk::words::{Between, Document, Down, Duty, Epoch, Instance, Ledger, Node, Number};
 
 /// Points in time and spans, ms of a clock that never goes back.
 pub type Millis = u64;
@@ -22,6 +22,8 @@
     pub epoch: Option<Epoch>,
     /// The configuration that is held.
     pub document: Option<Arc<Document>>,
+    /// Which content each number stands for, of all that is held.
+    pub ledger: Arc<Ledger>,
     /// The newest version that is known to be safe from loss.
     pub sure: Option<u32>,
     /// Nothing of a lower number is taken from the holder of a duty.
--- a/crates/plugboard/src/kinds.rs
+++ b/crates/plugboard/src/kinds.rs
@@ -11,6 +11,8 @@
     Usage,
     /// A configuration can't be read in full, or is invalid.
     Configuration,
+    /// The number of a configuration stands for another content.
+    Conflict,
     /// No call, or no route, is known by this name.
     Unknown,
     /// A call or a request lacks what it must carry.
@@ -55,10 +57,17 @@
 }
 
 /// From kind to answer: every kind has its row.
-pub const TABLE: [Row; 16] = [
+pub const TABLE: [Row; 17] = [
     row(Kind::Settings, "settings", 500, false, "mend the settings file; the process ended with status 2"),
     row(Kind::Usage, "usage", 500, false, "see --help"),
     row(Kind::Configuration, "configuration", 400, false, "mend what is named by its path and send it again"),
+    row(
+        Kind::Conflict,
+        "conflict",
+        409,
+        false,
+        "read the newest configuration and send the change under a higher number",
+    ),
     row(Kind::Unknown, "unknown", 404, false, "no route or call has this name"),
     row(Kind::Malformed, "malformed", 400, false, "mend the request"),
     row(Kind::TooLarge, "too-large", 413, false, "send less"),
--- a/crates/trunk/src/frames.rs
+++ b/crates/trunk/src/frames.rs
@@ -84,15 +84,19 @@
     use super::*;
     use crate::words::*;
     use googletest::prelude::*;
+    use std::collections::BTreeMap;
 
     fn words() -> Vec<Word> {
         let node = Node { ip: [10, 1, 0, 2].into(), folder: 7 };
         let number = Number { round: 3, by: 7 };
         let document = Document { version: 12, bytes: vec![0, 255, 7] };
+        let entries = BTreeMap::from([(12, Digest::of(&document.bytes)), (3, Digest([5; 16]))]);
+        let ledger = Ledger::new(Some(2), entries.clone());
+        let change = Change { document: Some(document.clone()), entries };
         vec![
             Word::Up(Up::Ping),
-            Word::Between(node, Between::Hold(number, document.clone())),
-            Word::Between(node, Between::Copy(number, None)),
+            Word::Between(node, Between::Hold(number, change)),
+            Word::Between(node, Between::Copy(number, Whole { document: None, ledger })),
             Word::Down(Down::News(1, News::Configuration(document))),
             Word::Up(Up::Adds(u64::MAX, vec![("t".into(), 3)])),
         ]
--- a/crates/trunk/src/words.rs
+++ b/crates/trunk/src/words.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
 /// A marker, as long as its folder lasts: one that comes back with an empty disk is another.
@@ -134,6 +135,32 @@
     pub Vec<u8>,
 );
 
+/// From number to content, bounded; see [`crate::ledger`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Nothing is known of this number and all below it that have no entry.
+    pub(crate) forgotten: Option<u32>,
+    pub(crate) entries: BTreeMap<u32, Digest>,
+}
+
+/// All that a holder holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Whole {
+    /// The newest configuration.
+    pub document: Option<Document>,
+    /// Which content each number stands for.
+    pub ledger: Ledger,
+}
+
+/// What a primary takes in at once, beyond what is held.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Change {
+    /// A newer configuration.
+    pub document: Option<Document>,
+    /// The numbers that were free, with what they stand for from now on; the configuration's is among them.
+    pub entries: BTreeMap<u32, Digest>,
+}
+
 /// Byte strings, which CBOR knows, in place of lists of numbers.
 mod bytes {
     use serde::de::{Deserializer, Visitor};
@@ -234,7 +261,7 @@
     /// That is promised; with the newest epoch that is kept here.
     Promise(Number, Option<Epoch>),
     /// Hands over what the primary-to-be holds, to whom it wants as a backup.
-    Copy(Number, Option<Document>),
+    Copy(Number, Whole),
     /// That is on disk.
     Copied(Number),
     /// Asks to keep an epoch.
@@ -243,9 +270,9 @@
     Kept(Number),
     /// Something of an epoch that is no more; the highest one promised here.
     Over(Number),
-    /// A configuration to hold, of an epoch.
-    Hold(Number, Document),
-    /// It is on disk: the epoch and the version.
+    /// More to hold, of an epoch.
+    Hold(Number, Change),
+    /// It is on disk: the epoch and the change's highest number, which no other change of the epoch has.
     Held(Number, u32),
     /// Asks whether an epoch is still the highest one promised there; the second number tells askings apart.
     Check(Number, u64),
