Contact first: a marker without a majority acknowledges and ends nothing, and says so

Cause: 0.55 s after a drain a marker confirmed it whether all knew or not, also when it heard no majority; it took plain beats while the rest missed the server; a reaper that was away could end servers at its own sessions; gatekeepers took a first configuration, readiness and a home from whichever marker answered first.

Change: a drain is confirmed once all know, or after 0.55 s if most of the core have said so under its ticket; else 503. What another marker passed on is answered for in 0.35 s, within that time. A drain that is sent again is told on again. Out of contact (no majority heard, or not heard by it) beats and ends are taken in and told on, but answered 503, so that the server goes where the rest hears it. Servers are ended once most of the core have taken the reaper's number. On return a marker asks most of the core for what it missed, under a number of that absence, and is in contact once they have answered and the newest safe version they named is here: News::Contact. A gatekeeper keeps a first configuration and home of one that is not aside until it is, or none has been for 3 s. Tickets and numbers begin at drawn ones, so that words for a former life count for nothing. /System.Status: contact, contact-for-ms.

--- a/crates/crossbar/src/control.rs
+++ b/crates/crossbar/src/control.rs
@@ -2,6 +2,10 @@
 //!
 //! A gatekeeper holds sessions with a few markers, so that nothing is missed when one of them goes. One is its home: of
 //! its own zone if there is one. A gatekeeper that hears no marker goes on with what it last knew.
+//!
+//! A marker that is out of contact with most of the core is no home and gives no first configuration while another may:
+//! what it tells first is kept aside until it is in contact, or until none has been for [`ALONE`]. Later ones are newer by
+//! their number whoever tells them, and are taken from all.
 
 use crate::Millis;
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,6 +14,10 @@
 
 /// Sessions at once.
 pub const SESSIONS: usize = 3;
+/// And those with markers that are out of contact, beyond them.
+const OUT_OF_CONTACT_MAX: usize = 3;
+/// When no marker has been in contact for so long, since the start or of those that were, one that is not has to do.
+const ALONE: Millis = 3_000;
 /// A home that says nothing for so long may be cut off: it answers four times as often.
 const TOUCH: Millis = 600;
 /// Adds that are not yet counted are merged beyond so many batches.
@@ -33,6 +41,10 @@
 #[derive(Default)]
 struct Session {
     zone: Option<String>,
+    /// Whether it is in contact with most of the core, by what it says.
+    contact: bool,
+    /// The first configuration, kept aside while it is not.
+    first: Option<Document>,
     opened: Millis,
     /// What the others had let in by the newest totals, once there were some.
     others: Option<BTreeMap<String, u64>>,
@@ -50,6 +62,12 @@
     told: BTreeSet<Ipv4Addr>,
     sessions: BTreeMap<Ipv4Addr, Session>,
     home: Option<Ipv4Addr>,
+    /// When a marker was in contact last, or this was begun.
+    contact_at: Option<Millis>,
+    now: Millis,
+    /// Whether a first configuration was taken, and all that a marker knows.
+    begun: bool,
+    whole: bool,
     number: u64,
     uncounted: Vec<(u64, BTreeMap<String, u64>)>,
     let_in: BTreeMap<String, u64>,
@@ -68,6 +86,10 @@
             told: BTreeSet::new(),
             sessions: BTreeMap::new(),
             home: None,
+            contact_at: None,
+            now: 0,
+            begun: false,
+            whole: false,
             number: 0,
             uncounted: Vec::new(),
             let_in: BTreeMap::new(),
@@ -98,7 +120,11 @@
 
     /// Which marker to try for a further session, if one is wanted; `busy` are being tried.
     pub fn wanted(&mut self, busy: &BTreeSet<Ipv4Addr>) -> Option<Ipv4Addr> {
-        if self.sessions.len() + busy.len() >= SESSIONS {
+        let near = self.sessions.values().filter(|s| s.contact).count();
+        let all = self.sessions.len() + busy.len();
+        // One that has not said yet is as good as in contact: it says so at once.
+        let unsaid = self.sessions.values().filter(|s| s.zone.is_none()).count();
+        if near + unsaid + busy.len() >= SESSIONS || all >= SESSIONS + OUT_OF_CONTACT_MAX {
             return None;
         }
         let free = |ip: &&Ipv4Addr| !self.sessions.contains_key(*ip) && !busy.contains(*ip);
@@ -106,8 +132,17 @@
         self.rng.choice(told)
     }
 
+    /// A session to be ended, where those that were out of contact have come back and are more than are wanted: the
+    /// newest that is not the home.
+    pub fn surplus(&self) -> Option<Ipv4Addr> {
+        let near = || self.sessions.iter().filter(|(_, s)| s.contact);
+        let newest = near().filter(|(ip, _)| self.home != Some(**ip)).max_by_key(|(ip, s)| (s.opened, **ip));
+        newest.filter(|_| near().count() > SESSIONS).map(|(ip, _)| *ip)
+    }
+
     /// A session is up. Gives what to say first.
     pub fn open(&mut self, now: Millis, ip: Ipv4Addr, has: Option<u32>, servers: Vec<Instance>) -> Up {
+        self.pass(now);
         self.sessions.insert(ip, Session { opened: now, heard: now, ..Session::default() });
         Up::Hello { life: self.life, name: self.name.clone(), has, servers }
     }
@@ -121,12 +156,54 @@
         self.find_home()
     }
 
-    /// The home is a marker of this zone that has told all, else whichever has for longest.
+    /// Time passes. Gives what to say of a home that is due now.
+    pub fn look(&mut self, now: Millis) -> Vec<(Ipv4Addr, Up)> {
+        self.pass(now);
+        self.find_home()
+    }
+
+    fn pass(&mut self, now: Millis) {
+        self.now = self.now.max(now);
+        let contact = self.sessions.values().any(|s| s.contact && self.now < s.heard + TOUCH);
+        if contact || self.contact_at.is_none() {
+            self.contact_at = Some(self.now);
+        }
+    }
+
+    /// Whether no marker has been in contact for so long that one which is not has to do.
+    fn is_alone(&self) -> bool {
+        self.contact_at.is_some_and(|at| self.now >= at + ALONE)
+    }
+
+    /// What was kept aside and is due now: the newest first configuration, then that all is told.
+    pub fn due(&mut self) -> Option<(Ipv4Addr, Change)> {
+        let alone = self.is_alone();
+        let good = |s: &Session| s.contact || alone;
+        let first = self.sessions.iter().filter(|(_, s)| good(s) && !self.begun);
+        let version = |s: &Session| s.first.as_ref().map(|d| d.version);
+        let first =
+            first.filter(|(_, s)| s.first.is_some()).max_by_key(|(_, s)| version(s)).map(|(ip, _)| *ip);
+        if let Some(ip) = first {
+            let document = self.sessions.get_mut(&ip).and_then(|s| s.first.take())?;
+            self.begun = true;
+            self.sessions.values_mut().for_each(|s| s.first = None);
+            return Some((ip, Change::Configuration(document)));
+        }
+        let told = self.sessions.iter().find(|(_, s)| good(s) && s.zone.is_some() && !self.whole);
+        let ip = told.map(|(ip, _)| *ip)?;
+        self.whole = true;
+        Some((ip, Change::Whole))
+    }
+
+    /// The home is a marker of this zone that has told all, else whichever has for longest. One that is out of contact
+    /// stays it only while no other is in contact, and becomes it only if none has been for [`ALONE`].
     fn find_home(&mut self) -> Vec<(Ipv4Addr, Up)> {
         let near = |s: &Session| s.zone.as_ref() == Some(&self.zone);
-        let told = self.sessions.iter().filter(|(_, s)| s.zone.is_some());
-        let best =
-            told.min_by_key(|(ip, s)| (!near(s), self.home != Some(**ip), s.opened, **ip)).map(|(ip, _)| *ip);
+        let may = |ip: &Ipv4Addr, s: &Session| s.contact || self.home == Some(*ip) || self.is_alone();
+        let told = self.sessions.iter().filter(|(ip, s)| s.zone.is_some() && may(ip, s));
+        let best = told
+            .min_by_key(|(ip, s)| (!s.contact, !near(s), self.home != Some(**ip), s.opened, **ip))
+            .map(|(ip, _)| *ip);
         if best == self.home {
             return Vec::new();
         }
@@ -151,15 +228,35 @@
         if let Some(session) = self.sessions.get_mut(&ip) {
             session.heard = now;
         }
+        self.pass(now);
         match word {
             Down::Pong => (None, Vec::new()),
             Down::News(number, news) => {
                 let mut say = vec![(ip, Up::Got(number))];
                 let change = match news {
-                    News::Configuration(document) => Some(Change::Configuration(document)),
+                    News::Configuration(document) if self.begun => Some(Change::Configuration(document)),
+                    News::Configuration(document) => {
+                        if let Some(session) = self.sessions.get_mut(&ip) {
+                            session.first = Some(document);
+                        }
+                        None
+                    }
+                    News::Contact(contact) => {
+                        if let Some(session) = self.sessions.get_mut(&ip) {
+                            session.contact = contact;
+                        }
+                        self.pass(now);
+                        say.extend(self.find_home());
+                        None
+                    }
                     News::Servers(servers) => Some(Change::Servers(servers)),
                     News::Markers(markers) => {
-                        self.told = markers.into_iter().collect();
+                        // One that is out of contact names whom it hears still: too few.
+                        let contact = |s: &Session| s.contact;
+                        if !self.sessions.values().any(contact) || self.sessions.get(&ip).is_some_and(contact)
+                        {
+                            self.told = markers.into_iter().collect();
+                        }
                         None
                     }
                     News::Gatekeepers(n, missed) => {
@@ -174,7 +271,7 @@
                             session.zone = Some(zone);
                         }
                         say.extend(self.find_home());
-                        Some(Change::Whole)
+                        None
                     }
                 };
                 (change, say)
--- a/crates/crossbar/src/gate.rs
+++ b/crates/crossbar/src/gate.rs
@@ -14,7 +14,7 @@
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
-use trunk::words::Up;
+use trunk::words::{Down, Up};
 
 /// Time that is kept of a request's for its answer to reach the client.
 const MARGIN: Millis = 5;
@@ -185,14 +185,36 @@
         Ok(pass)
     }
 
+    /// A marker says something. Gives what to say, and to whom.
+    pub fn on_down(&mut self, now: Millis, ip: Ipv4Addr, word: Down) -> Vec<(Ipv4Addr, Up)> {
+        let (change, mut say) = self.control.take(now, ip, word);
+        if let Some(change) = change {
+            let version = self.take(now, change);
+            say.extend(version.map(|version| (ip, Up::Has(version))));
+        }
+        self.take_due(now, &mut say);
+        say
+    }
+
+    /// Takes in what markers told before it was to be taken.
+    fn take_due(&mut self, now: Millis, say: &mut Vec<(Ipv4Addr, Up)>) {
+        while let Some((ip, change)) = self.control.due() {
+            let version = self.take(now, change);
+            say.extend(version.map(|version| (ip, Up::Has(version))));
+        }
+    }
+
     /// What is to be told of what was let in; and whether what the others let in is known.
-    pub fn on_batch(&mut self, now: Millis) -> Option<(Ipv4Addr, Up)> {
+    pub fn on_batch(&mut self, now: Millis) -> Vec<(Ipv4Addr, Up)> {
+        let mut say = self.control.look(now);
+        self.take_due(now, &mut say);
         if let Some((all, missed)) = self.control.members() {
             self.budget.share(all);
             self.tenants.share(all, missed);
         }
         self.tenants.touch(now, self.control.in_touch(now));
-        self.control.batch(now)
+        say.extend(self.control.batch(now));
+        say
     }
 
     /// One of a route's services, by weight.
--- a/crates/crossbar/src/run.rs
+++ b/crates/crossbar/src/run.rs
@@ -23,7 +23,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::spawn_local;
 use trunk::line::{self, Sender};
-use trunk::words::{Up, Word};
+use trunk::words::{Down, Up, Word};
 
 /// How often what was let in is told, and sessions are looked after.
 const BATCH: Duration = Duration::from_millis(50);
@@ -90,6 +90,9 @@
             let busy = self.busy.borrow();
             self.front.gate.borrow_mut().control.wanted(&busy)
         };
+        if let Some(ip) = self.front.gate.borrow().control.surplus() {
+            self.standing.borrow().get(&ip).iter().for_each(|line| line.close());
+        }
         if let Some(ip) = wanted {
             self.busy.borrow_mut().insert(ip);
             spawn_local(self.clone().hold(ip));
@@ -147,10 +150,9 @@
     fn take(&self, ip: Ipv4Addr, word: Word) {
         let Word::Down(word) = word else { return };
         let now = self.front.now();
-        let (change, mut say) = self.front.gate.borrow_mut().control.take(now, ip, word);
-        if let Some(change) = change {
-            let version = self.front.gate.borrow_mut().take(self.front.now(), change);
-            say.extend(version.map(|version| (ip, Up::Has(version))));
+        let news = word != Down::Pong;
+        let say = self.front.gate.borrow_mut().on_down(now, ip, word);
+        if news {
             self.front.room.notify_waiters();
             self.front.news.notify_waiters();
         }
@@ -284,8 +286,14 @@
     spawn_local(async move {
         loop {
             looking.look();
-            let batch = looking.front.gate.borrow_mut().on_batch(looking.front.now());
+            let (before, batch, after) = {
+                let gate = &mut *looking.front.gate.borrow_mut();
+                (gate.is_ready(), gate.on_batch(looking.front.now()), gate.is_ready())
+            };
             looking.say(batch);
+            if after && !before {
+                looking.front.news.notify_waiters();
+            }
             tokio::time::sleep(BATCH).await;
         }
     });
--- a/crates/marker/src/core/hearing.rs
+++ b/crates/marker/src/core/hearing.rs
@@ -12,6 +12,8 @@
     /// When it was; never, where only others name it.
     pub(super) at: Option<Millis>,
     pub(super) led: bool,
+    /// Whether it said last that it hears this marker.
+    pub(super) hears_me: bool,
     pub(super) sure: Option<u32>,
     pub(super) sure_sent: Millis,
     pub(super) standing: Standing,
@@ -20,7 +22,15 @@
 impl Heard {
     /// One that others name, and that has said nothing yet.
     fn named(node: Node) -> Heard {
-        Heard { node, at: None, led: false, sure: None, sure_sent: 0, standing: Standing::default() }
+        Heard {
+            node,
+            at: None,
+            led: false,
+            hears_me: false,
+            sure: None,
+            sure_sent: 0,
+            standing: Standing::default(),
+        }
     }
 
     pub(super) fn lately(&self, now: Millis) -> bool {
@@ -77,6 +87,22 @@
         heard.map(|heard| heard.standing.clone()).unwrap_or_default()
     }
 
+    /// Whether most of the core is heard here and says that it hears this marker, itself included.
+    pub fn in_contact(&self) -> bool {
+        self.most_of_core(|ip| self.heard.get(&ip).is_some_and(|h| h.hears_me))
+    }
+
+    /// Whether most of the core is heard and meant by `has`, this marker included; never where no epoch is kept.
+    pub fn most_of_core(&self, has: impl Fn(Ipv4Addr) -> bool) -> bool {
+        let meant = |node: &Node| *node == self.me() || self.hears(*node) && has(node.ip);
+        self.agreement.epoch().is_some_and(|e| most(&e.core, meant))
+    }
+
+    /// A number that no former life of this process has used, but for chance.
+    pub fn draw(&mut self) -> u64 {
+        self.rng.u64(1 << 32..1 << 48)
+    }
+
     /// The seeds as a new settings file names them.
     pub fn reseed(&mut self, seeds: &[Ipv4Addr]) {
         self.seeds = seeds.to_vec();
@@ -111,7 +137,7 @@
         if self.heard.len() < KNOWN_MAX || self.heard.contains_key(&from.ip) {
             let heard = self.heard.entry(from.ip).or_insert_with(|| Heard::named(from));
             (heard.node, heard.at, heard.led, heard.sure) = (from, Some(now), led, sure);
-            heard.standing = standing;
+            (heard.hears_me, heard.standing) = (others.contains(&me.ip), standing);
         }
         // Those that others hear are dialled too; they are heard once they answer.
         for ip in others.iter().filter(|ip| **ip != me.ip) {
--- a/crates/marker/src/registry.rs
+++ b/crates/marker/src/registry.rs
@@ -134,6 +134,11 @@
         changed
     }
 
+    /// What is known of a life.
+    pub fn get(&self, id: &str) -> Option<&Instance> {
+        self.entries.get(id).map(|e| &e.instance)
+    }
+
     /// A server says that it ends.
     pub fn on_leave(&mut self, now: Millis, id: &str) -> Vec<Instance> {
         let Some(entry) = self.entries.get_mut(id) else { return Vec::new() };
@@ -203,15 +208,22 @@
         MISSED.0 * self.beat + MISSED.1
     }
 
-    /// Ends the servers whose beats have stopped. Gives them.
-    pub fn reap(&mut self, now: Millis) -> Vec<Instance> {
+    /// The servers whose beats have stopped, as they are to be known once they are ended.
+    pub fn silent(&self, now: Millis) -> Vec<Instance> {
         let silence = self.silence();
-        let silent = |e: &&mut Entry| e.instance.state != State::Gone && now > e.at + silence;
-        let ends = self.entries.values_mut().filter(silent).map(|entry| {
-            (entry.instance.state, entry.at) = (State::Gone, now);
-            entry.instance.clone()
-        });
-        ends.collect()
+        let silent = |e: &&Entry| e.instance.state != State::Gone && now > e.at + silence;
+        let ends = self.entries.values().filter(silent);
+        ends.map(|e| Instance { state: State::Gone, ..e.instance.clone() }).collect()
+    }
+
+    /// Ends servers that were silent, unless they have beaten since. Gives those that it ends.
+    pub fn end(&mut self, now: Millis, silent: Vec<Instance>) -> Vec<Instance> {
+        silent.into_iter().flat_map(|end| self.take(now, end)).collect()
+    }
+
+    /// All that are known, those too that are gone and still remembered: what one that was away may have missed.
+    pub fn whole(&self) -> Vec<Instance> {
+        self.entries.values().map(|e| e.instance.clone()).collect()
     }
 }
 
@@ -255,8 +267,14 @@
         registry.on_beat(0, server("xx", 1, State::Ready));
         expect_that!(registry.on_alive(7_000, &[("xx".into(), 5)]).len(), eq(0));
         registry.on_tick(8_001, true);
-        expect_that!(registry.reap(8_001).len(), eq(0));
-        expect_that!(registry.reap(12_002)[0].id, eq("x"));
+        expect_that!(registry.silent(8_001).len(), eq(0));
+        let silent = registry.silent(12_002);
+        expect_that!(silent[0].id, eq("x"));
+        // Nobody is ended who has beaten since.
+        let beaten = Instance { sequence: 0, ..silent[0].clone() };
+        expect_that!(registry.end(12_002, vec![beaten]).len(), eq(0));
+        expect_that!(registry.all().len(), eq(2));
+        expect_that!(registry.end(12_002, silent)[0].id, eq("x"));
         expect_that!(registry.all().len(), eq(1));
         expect_that!(registry.on_alive(13_000, &[("x".into(), 9)])[0].state, eq(State::Ready));
         expect_that!(registry.all().len(), eq(2));
--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -36,6 +36,8 @@
 const CONNECTIONS_MAX: usize = 1_000;
 /// How often the settings file is looked at.
 const SETTINGS: Duration = Duration::from_secs(2);
+/// Longest wait before another marker is dialled again: one that was cut off is back soon after its links are.
+const REDIAL: Duration = Duration::from_millis(500);
 /// How long a marker that was told to end goes on, so that whoever takes over has done so.
 const LEAVE: Duration = Duration::from_millis(400);
 
@@ -143,7 +145,7 @@
             Ok(stream) => stream,
             Err(ended) => {
                 log::info!("{ip}: {ended}");
-                backoff.wait().await;
+                tokio::time::sleep(backoff.draw().min(REDIAL)).await;
                 continue;
             }
         };
@@ -154,7 +156,7 @@
         let ended = line::carry(stream, sender, NEVER, |_| {}).await;
         log::info!("{ip}: {ended}");
         exchange.step(|marker, now, out| marker.on_line(now, ip, false, out));
-        backoff.wait().await;
+        tokio::time::sleep(backoff.draw().min(REDIAL)).await;
     }
     exchange.lines.borrow_mut().remove(&ip);
 }
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 use trunk::words::{Document, Down, Instance, News};
 
-/// How long something may wait until all know it; servers wait a second for their answer.
+/// How long a server's call may wait until all know what it says; servers wait a second for their answer.
 const KNOWN: Millis = 550;
+/// The same for what another marker passed on: it has to hear of it before its own time is over.
+const KNOWN_HERE: Millis = 350;
 /// A session that says nothing for so long is not heard: it says that it stands four times as often.
 const HEARD: Millis = 600;
 /// Sessions at once.
@@ -35,6 +37,8 @@
     waiter: Waiter,
     sessions: BTreeMap<SessionId, u64>,
     markers: BTreeSet<Ipv4Addr>,
+    /// Markers that have said that all there know.
+    told: BTreeSet<Ipv4Addr>,
     ticket: u64,
     until: Millis,
 }
@@ -48,6 +52,11 @@
 }
 
 impl Sessions {
+    /// Without any; tickets begin after this number, so that a word for a former life of the process counts for nothing.
+    pub fn new(ticket: u64) -> Sessions {
+        Sessions { ticket, ..Sessions::default() }
+    }
+
     /// A gatekeeper opens a session; it is told all.
     #[allow(clippy::too_many_arguments)] // All that a session begins with.
     pub fn open(
@@ -155,8 +164,12 @@
         let ticket = self.ticket();
         let behind = self.sessions.iter().filter(|(_, s)| s.got < s.sent);
         let sessions = behind.map(|(id, s)| (*id, s.sent)).collect();
-        let (markers, until) = (markers.iter().copied().collect(), now + KNOWN);
-        self.waits.push(Wait { waiter, sessions, markers, ticket, until });
+        let markers = markers.iter().copied().collect();
+        let until = match waiter {
+            Waiter::Call(_) => now + KNOWN,
+            Waiter::Marker(..) => now + KNOWN_HERE,
+        };
+        self.waits.push(Wait { waiter, sessions, markers, told: BTreeSet::new(), ticket, until });
         ticket
     }
 
@@ -170,16 +183,18 @@
     pub fn on_told(&mut self, from: Ipv4Addr, ticket: u64) {
         for wait in self.waits.iter_mut().filter(|wait| wait.ticket == ticket) {
             wait.markers.remove(&from);
+            wait.told.insert(from);
         }
     }
 
-    /// Those who need not wait any longer: because all know, or because somebody is not in touch.
-    pub fn known(&mut self, now: Millis) -> Vec<Waiter> {
+    /// Those who wait no longer: because all know, or because somebody is not in touch; and which markers have said that
+    /// all there know.
+    pub fn known(&mut self, now: Millis) -> Vec<(Waiter, BTreeSet<Ipv4Addr>)> {
         let mut known = Vec::new();
-        self.waits.retain(|wait| {
+        self.waits.retain_mut(|wait| {
             let ends = (wait.sessions.is_empty() && wait.markers.is_empty()) || now >= wait.until;
             if ends {
-                known.push(wait.waiter);
+                known.push((wait.waiter, std::mem::take(&mut wait.told)));
             }
             !ends
         });
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -29,6 +29,9 @@
 const KNOWS: Millis = 1_200;
 /// How often the servers are put on disk, where they have changed.
 const SERVERS: Millis = 400;
+/// How often those that have not answered are asked again what was missed, and most of the core whom to end.
+const AGAIN: Millis = 300;
+const REAP: Millis = 600;
 
 /// What is known of another marker.
 #[derive(Default)]
@@ -45,6 +48,21 @@
     at: Millis,
 }
 
+/// What was missed out of contact, asked for under a number; the safe versions of those that have answered.
+struct Asking {
+    number: u64,
+    at: Millis,
+    answers: BTreeMap<Ipv4Addr, Option<u32>>,
+}
+
+/// Servers that are to be ended, once most of the core have taken the reaper's number for it.
+struct Reaping {
+    ticket: u64,
+    at: Millis,
+    silent: Vec<Instance>,
+    told: BTreeSet<Ipv4Addr>,
+}
+
 /// One marker.
 pub struct Marker {
     core: Core,
@@ -66,6 +84,12 @@
     sessions_at: Millis,
     servers_at: Millis,
     servers_changed: bool,
+    /// Whether it is in contact with most of the core and has caught up with it; and since when it is so, or not.
+    contact: bool,
+    contact_at: Millis,
+    asking: Option<Asking>,
+    asked: u64,
+    reaping: Option<Reaping>,
 }
 
 /// A call of a server or an operator, taken apart.
@@ -96,16 +120,17 @@
 
 impl Marker {
     /// One whose core has kept what it has; servers beat so often, and these were known last.
-    pub fn new(core: Core, zone: String, beat: Millis, servers: Vec<Instance>) -> Marker {
+    pub fn new(mut core: Core, zone: String, beat: Millis, servers: Vec<Instance>) -> Marker {
         let mut registry = Registry::new(beat);
         for server in servers {
             registry.take(0, server);
         }
+        let (ticket, asked) = (core.draw(), core.draw());
         Marker {
             core,
             zone,
             registry,
-            sessions: Sessions::default(),
+            sessions: Sessions::new(ticket),
             repair: Repair::default(),
             tally: Tally::default(),
             peers: BTreeMap::new(),
@@ -120,6 +145,11 @@
             sessions_at: 0,
             servers_at: 0,
             servers_changed: false,
+            contact: false,
+            contact_at: 0,
+            asking: None,
+            asked,
+            reaping: None,
         }
     }
 
@@ -153,12 +183,14 @@
                     // Beats stay in the server's zone where a marker is there.
                     let reply = self.marker_of(&instance.zone).map_or(Reply::done(), Reply::Beats);
                     let changed = self.registry.on_beat(now, instance);
+                    let leaves = self.registry.get(&life).filter(|_| leaves).cloned();
                     self.spread(now, id, leaves, changed, reply, out);
                 }
             },
             Call::Leave { id: life } => {
                 let changed = self.registry.on_leave(now, &life);
-                self.spread(now, id, true, changed, Reply::done(), out);
+                let leaves = self.registry.get(&life).cloned();
+                self.spread(now, id, leaves, changed, Reply::done(), out);
             }
             Call::Replace { body } => match configuration::parse(&body) {
                 Err(faults) => {
@@ -170,17 +202,19 @@
                 }
             },
             Call::Read => self.core.on_read(now, id, out),
-            Call::Status => out.push(Output::Answer(id, Reply::Json(self.status()))),
+            Call::Status => out.push(Output::Answer(id, Reply::Json(self.status(now)))),
         }
         self.after(now, out);
     }
 
-    /// Tells all what has changed of servers. A server that leaves is answered once all know.
+    /// Tells all what has changed of servers. A server that leaves is answered once all know; it is told on again each time
+    /// that it says so, as who knew before is not kept. Out of contact what it says is taken in and told on all the same,
+    /// but not acknowledged: the server then calls another marker, which the others may hear.
     fn spread(
         &mut self,
         now: Millis,
         id: u64,
-        leaves: bool,
+        leaves: Option<Instance>,
         changed: Vec<Instance>,
         reply: Reply,
         out: &mut Vec<Output>,
@@ -188,27 +222,25 @@
         if !changed.is_empty() {
             self.tell_servers(changed.clone(), out);
         }
-        let live = self.core.live();
-        // Also where nothing is new here: an answer may have been lost before all knew.
-        let ticket = if leaves {
-            let again: &[Ipv4Addr] = if changed.is_empty() { &[] } else { &live };
-            self.sessions.wait(now, Waiter::Call(id), again)
+        let ticket = if !self.contact {
+            out.push(Output::Answer(id, Reply::fault(Kind::Uncertain, "this marker is out of contact")));
+            0
+        } else if leaves.is_some() {
+            let live = self.core.live();
+            self.sessions.wait(now, Waiter::Call(id), &live)
         } else {
             out.push(Output::Answer(id, reply));
             0
         };
-        self.pass_on(now, changed, ticket, Between::Servers, out);
+        let words = match leaves {
+            Some(leaves) if !changed.contains(&leaves) => changed.into_iter().chain([leaves]).collect(),
+            _ => changed,
+        };
+        self.pass_on(now, words, ticket, out);
     }
 
     /// Tells the other markers what has changed of servers. Who is no more is kept for those that can't be told now.
-    fn pass_on(
-        &mut self,
-        now: Millis,
-        changed: Vec<Instance>,
-        ticket: u64,
-        word: impl Fn(u64, Vec<Instance>) -> Between,
-        out: &mut Vec<Output>,
-    ) {
+    fn pass_on(&mut self, now: Millis, changed: Vec<Instance>, ticket: u64, out: &mut Vec<Output>) {
         if changed.is_empty() {
             return;
         }
@@ -216,7 +248,7 @@
         let ticket = if ticket == 0 && !ended.is_empty() { self.sessions.ticket() } else { ticket };
         for ip in self.core.known() {
             self.repair.owe(now, ip, &ended, ticket);
-            out.push(Output::Send(ip, word(ticket, changed.clone())));
+            out.push(Output::Send(ip, Between::Servers(ticket, changed.clone())));
         }
     }
 
@@ -283,6 +315,7 @@
             }
             Between::Told(ticket) => {
                 self.sessions.on_told(from.ip, ticket);
+                self.on_reaped(now, from.ip, ticket, out);
                 if self.repair.told(from.ip, ticket) {
                     self.hand_over(from.ip, out);
                 }
@@ -304,6 +337,16 @@
             }
             Between::Left(name) => drop(self.members.remove(&name)),
             Between::Adds(adds) => self.tally.count(&adds),
+            Between::CatchUp(number) => {
+                out.push(Output::Send(from.ip, Between::Servers(0, self.registry.whole())));
+                let sure = self.core.sure().map(|d| d.version);
+                out.push(Output::Send(from.ip, Between::CaughtUp(number, sure)));
+            }
+            Between::CaughtUp(number, sure) => {
+                if let Some(asking) = self.asking.as_mut().filter(|asking| asking.number == number) {
+                    asking.answers.insert(from.ip, sure);
+                }
+            }
             word => self.core.on_word(now, from, word, out),
         }
         self.after(now, out);
@@ -347,6 +390,7 @@
                     &self.zone,
                     out,
                 );
+                self.sessions.tell(session, News::Contact(self.contact), out);
                 if !ended.is_empty() {
                     self.sessions.tell(session, News::Servers(ended), out);
                 }
@@ -400,7 +444,7 @@
     /// Time passes.
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.core.on_tick(now, out);
-        self.registry.on_tick(now, !self.core.hears_most());
+        self.registry.on_tick(now, !self.contact);
         self.reap(now, out);
         let peers: Vec<Ipv4Addr> = self.core.live();
         if now >= self.totals_at + TOTALS {
@@ -459,15 +503,80 @@
         self.after(now, out);
     }
 
-    /// Ends the servers whose beats have stopped, where that is this marker's duty.
+    /// Has the servers ended whose beats have stopped, where that is this marker's duty.
     fn reap(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let Some(number) = self.core.holds(Duty::Reaper) else { return };
-        let ended = self.registry.reap(now);
-        if ended.is_empty() {
+        let Some(number) = self.core.holds(Duty::Reaper).filter(|_| self.contact) else {
+            self.reaping = None;
+            return;
+        };
+        let waits = self.reaping.as_ref().is_some_and(|reaping| now < reaping.at + REAP);
+        let silent = if waits { Vec::new() } else { self.registry.silent(now) };
+        if silent.is_empty() {
+            return;
+        }
+        let ticket = self.sessions.ticket();
+        for ip in self.core.known() {
+            out.push(Output::Send(ip, Between::Reaped(number, ticket, silent.clone())));
+        }
+        self.reaping = Some(Reaping { ticket, at: now, silent, told: BTreeSet::new() });
+        self.on_reaped(now, self.core.me().ip, ticket, out);
+    }
+
+    /// A marker has taken the reaper's number. Once most of the core have, the servers are ended here too: one that was
+    /// away, and does not know that its duty is another's, ends nobody.
+    fn on_reaped(&mut self, now: Millis, from: Ipv4Addr, ticket: u64, out: &mut Vec<Output>) {
+        let Some(reaping) = self.reaping.as_mut().filter(|reaping| reaping.ticket == ticket) else { return };
+        reaping.told.insert(from);
+        if !self.core.most_of_core(|ip| reaping.told.contains(&ip)) {
+            return;
+        }
+        let Some(Reaping { silent, told, .. }) = self.reaping.take() else { return };
+        let ended = self.registry.end(now, silent);
+        for ip in self.core.known().into_iter().filter(|ip| !told.contains(ip)) {
+            self.repair.owe(now, ip, &ended, ticket);
+        }
+        if !ended.is_empty() {
+            self.tell_servers(ended, out);
+        }
+    }
+
+    /// Says out of contact when it hears no majority, or is not heard by it; and in contact once a majority has answered, since
+    /// then, what was missed, and the newest version that it named is here. The number of the asking decides, not the time.
+    fn watch_contact(&mut self, now: Millis, out: &mut Vec<Output>) {
+        if !self.core.in_contact() {
+            self.asking = None;
+            if std::mem::take(&mut self.contact) {
+                self.turn(now, out);
+            }
             return;
         }
-        self.tell_servers(ended.clone(), out);
-        self.pass_on(now, ended, 0, |ticket, ended| Between::Reaped(number, ticket, ended), out);
+        if self.contact {
+            return;
+        }
+        if self.asking.is_none() {
+            self.asked += 1;
+            self.asking = Some(Asking { number: self.asked, at: 0, answers: BTreeMap::new() });
+        }
+        let (live, sure) = (self.core.live(), self.core.sure().map(|d| d.version));
+        let Some(asking) = self.asking.as_mut() else { return };
+        if now >= asking.at + AGAIN || asking.at == 0 {
+            asking.at = now;
+            for ip in live.into_iter().filter(|ip| !asking.answers.contains_key(ip)) {
+                out.push(Output::Send(ip, Between::CatchUp(asking.number)));
+            }
+        }
+        let answered = self.core.most_of_core(|ip| asking.answers.contains_key(&ip));
+        if answered && asking.answers.values().all(|theirs| *theirs <= sure) {
+            (self.contact, self.asking) = (true, None);
+            self.turn(now, out);
+        }
+    }
+
+    fn turn(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let since = now - self.contact_at;
+        log::info!("{} contact, after {since} ms", if self.contact { "in" } else { "out of" });
+        self.contact_at = now;
+        self.sessions.tell_all(&News::Contact(self.contact), out);
     }
 
     /// A marker names all gatekeepers whose home it is: others whose home it was are heard no more.
@@ -509,15 +618,23 @@
         for document in sure {
             self.sessions.tell_all(&News::Configuration(Document::clone(&document)), out);
         }
-        for waiter in self.sessions.known(now) {
+        // After what is safe, so that whoever hears of contact has what came with it.
+        self.watch_contact(now, out);
+        for (waiter, told) in self.sessions.known(now) {
+            // A gatekeeper in touch has a session with one of any majority, or is told all when it opens one.
+            let most = || self.contact && self.core.most_of_core(|ip| told.contains(&ip));
             out.push(match waiter {
-                Waiter::Call(id) => Output::Answer(id, Reply::done()),
+                Waiter::Call(id) if most() => Output::Answer(id, Reply::done()),
+                Waiter::Call(id) => Output::Answer(
+                    id,
+                    Reply::fault(Kind::Uncertain, "most markers have not said that all know"),
+                ),
                 Waiter::Marker(ip, ticket) => Output::Send(ip, Between::Told(ticket)),
             });
         }
     }
 
-    fn status(&self) -> String {
+    fn status(&self, now: Millis) -> String {
         let view = self.core.view();
         let ip = |node: &Node| node.ip.to_string();
         let epoch = view.epoch.as_ref().map(|e| {
@@ -539,6 +656,8 @@
         serde_json::json!({
             "marker": self.me().ip.to_string(),
             "leads": view.leads,
+            "contact": self.contact,
+            "contact-for-ms": now - self.contact_at,
             "epoch": epoch,
             "version": view.sure.map(|v| format!("{v:08x}")),
             "numbers-held": view.numbers.0,
--- a/crates/trunk/src/words.rs
+++ b/crates/trunk/src/words.rs
@@ -294,6 +294,10 @@
     Servers(u64, Vec<Instance>),
     /// All gatekeepers with a session at the sender know it.
     Told(u64),
+    /// Asks for all that the sender may have missed while it was out of contact, under a number of that absence.
+    CatchUp(u64),
+    /// All of it was said before this; with the number of the asking, and the newest safe version here.
+    CaughtUp(u64, Option<u32>),
     /// Servers that have beaten here, with their sequence numbers.
     Alive(Vec<(String, u64)>),
     /// The gatekeepers whose home the sender is, by name, and its zone: when they change, and now and then. They stand
@@ -354,6 +358,8 @@
     Whole(String),
     /// All markers that are known.
     Markers(Vec<Ipv4Addr>),
+    /// Whether the marker is in contact with most of the core, and has caught up with it; until told so it is not.
+    Contact(bool),
     /// How many gatekeepers there are, and how many of them no marker hears, though none has seen them end: these
     /// may be cut off, and go on letting in their part.
     Gatekeepers(u32, u32),
