--- a/crates/crossbar/src/control.rs
+++ b/crates/crossbar/src/control.rs
@@ -43,6 +43,8 @@
     zone: Option<String>,
     /// Whether it is in contact with most of the core, by what it says.
     contact: bool,
+    /// Whether it was heard since the home said last that it is out of contact: what took that may have taken this one.
+    heard_since: bool,
     /// The first configuration, kept aside while it is not.
     first: Option<Document>,
     opened: Millis,
@@ -199,10 +201,11 @@
     /// stays it only while no other is in contact, and becomes it only if none has been for [`ALONE`].
     fn find_home(&mut self) -> Vec<(Ipv4Addr, Up)> {
         let near = |s: &Session| s.zone.as_ref() == Some(&self.zone);
-        let may = |ip: &Ipv4Addr, s: &Session| s.contact || self.home == Some(*ip) || self.is_alone();
+        let good = |s: &Session| s.contact && s.heard_since;
+        let may = |ip: &Ipv4Addr, s: &Session| good(s) || self.home == Some(*ip) || self.is_alone();
         let told = self.sessions.iter().filter(|(ip, s)| s.zone.is_some() && may(ip, s));
         let best = told
-            .min_by_key(|(ip, s)| (!s.contact, !near(s), self.home != Some(**ip), s.opened, **ip))
+            .min_by_key(|(ip, s)| (!good(s), !near(s), self.home != Some(**ip), s.opened, **ip))
             .map(|(ip, _)| *ip);
         if best == self.home {
             return Vec::new();
@@ -226,7 +229,7 @@
     /// A marker says something. Gives what it changes, and what to say.
     pub fn take(&mut self, now: Millis, ip: Ipv4Addr, word: Down) -> (Option<Change>, Vec<(Ipv4Addr, Up)>) {
         if let Some(session) = self.sessions.get_mut(&ip) {
-            session.heard = now;
+            (session.heard, session.heard_since) = (now, true);
         }
         self.pass(now);
         match word {
@@ -242,6 +245,9 @@
                         None
                     }
                     News::Contact(contact) => {
+                        if self.home == Some(ip) && !contact {
+                            self.sessions.values_mut().for_each(|s| s.heard_since = false);
+                        }
                         if let Some(session) = self.sessions.get_mut(&ip) {
                             session.contact = contact;
                         }
--- a/crates/crossbar/tests/common/mod.rs
+++ b/crates/crossbar/tests/common/mod.rs
@@ -16,7 +16,8 @@
 //! that are up and not cut off, `touch` that these hear their homes, `lists m1 2` how many servers a marker knows, `reaper m1`
 //! whose duty that is by all markers that are not cut off, `answered s1`, `waits s1` and `says s1 503` of the last call of a server, of
 //! `put` or of `read` (`reads 7` what it gave), `confirmed 7` of an order, `contact m1 yes` what a marker says of itself and `tells m1
-//! g1 no` what it told a gatekeeper last, `ready g1`, `unready g1`, `holds g1 7`, `home g1 m2` (`-` for none).
+//! g1 no` what it told a gatekeeper last, `ready g1`, `unready g1`, `holds g1 7`, `home g1 m2` (`-` for none, `!m2` for
+//! any other).
 
 // Each file of tests uses its part of it.
 #![allow(dead_code)]
@@ -788,8 +789,12 @@
             }
             ["home", name, of] => {
                 let home = self.named(name).control.home().and_then(|ip| self.board(ip));
-                let of = (*of != "-").then(|| self.number(of));
-                assert_eq!(home, of, "{name} at {now}");
+                if let Some(not) = of.strip_prefix('!') {
+                    assert!(home.is_some() && home != Some(self.number(not)), "{name} at {now}: {home:?}");
+                } else {
+                    let of = (*of != "-").then(|| self.number(of));
+                    assert_eq!(home, of, "{name} at {now}");
+                }
             }
             _ => panic!("what is {words:?}?"),
         }
@@ -817,7 +822,9 @@
     for line in lines {
         let cells: Vec<&str> = line.split('|').map(str::trim).collect();
         assert_eq!(cells.len(), columns.len(), "{line}");
-        world.run(cells[0].parse().unwrap());
+        let at = cells[0].parse().unwrap();
+        assert!(at >= world.now, "{line}: time goes on");
+        world.run(at);
         for n in 0..columns.len() - 2 {
             world.act(n, cells[n + 1]);
         }
