Push configurations to gatekeepers as differences, at once from the home only

A change from another base is refused with Lacks and the whole comes at once. Only the home tells at once; the others after 200 ms where Has has not come. Every change still is put together whole, checked whole and put in force at once; none goes back. Proved by breaking: others never tell; all tell at once; a home is not known; Lacks unsaid; Lacks unheard; Has to the teller only; no former kept; what was told not counted as base; older ones put in force, whole or as a difference. Each fails a test of timelines.rs. Not caught (no slow line in this world): others telling after 0 in place of 200 ms.

--- a/crates/crossbar/src/control.rs
+++ b/crates/crossbar/src/control.rs
@@ -10,7 +10,7 @@
 use crate::Millis;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
-use trunk::words::{Document, Down, Instance, News, Up};
+use trunk::words::{Difference, Document, Down, Instance, News, Revision, Up};
 
 /// Sessions at once.
 pub const SESSIONS: usize = 3;
@@ -28,6 +28,8 @@
 pub enum Change {
     /// A configuration to have in force.
     Configuration(Document),
+    /// The same, as what differs from the one that is in force.
+    Difference(Difference),
     /// What has changed of servers.
     Servers(Vec<Instance>),
     /// All is told that a marker knows.
@@ -143,7 +145,7 @@
     }
 
     /// A session is up. Gives what to say first.
-    pub fn open(&mut self, now: Millis, ip: Ipv4Addr, has: Option<u32>, servers: Vec<Instance>) -> Up {
+    pub fn open(&mut self, now: Millis, ip: Ipv4Addr, has: Option<Revision>, servers: Vec<Instance>) -> Up {
         self.pass(now);
         self.sessions.insert(ip, Session { opened: now, heard: now, ..Session::default() });
         Up::Hello { life: self.life, name: self.name.clone(), has, servers }
@@ -226,6 +228,11 @@
         say
     }
 
+    /// The same for all markers.
+    pub fn tell_all(&self, word: &Up) -> Vec<(Ipv4Addr, Up)> {
+        self.sessions.keys().map(|ip| (*ip, word.clone())).collect()
+    }
+
     /// A marker says something. Gives what it changes, and what to say.
     pub fn take(&mut self, now: Millis, ip: Ipv4Addr, word: Down) -> (Option<Change>, Vec<(Ipv4Addr, Up)>) {
         if let Some(session) = self.sessions.get_mut(&ip) {
@@ -244,6 +251,17 @@
                         }
                         None
                     }
+                    News::Change(difference) if self.begun => Some(Change::Difference(difference)),
+                    News::Change(difference) => {
+                        // Of what was kept aside, if it was told from that.
+                        let session = self.sessions.get_mut(&ip);
+                        let first = session.and_then(|s| s.first.as_mut());
+                        match first.and_then(|d| difference.apply(d).ok().map(|next| (d, next))) {
+                            Some((first, next)) => *first = next,
+                            None => say.push((ip, Up::Lacks(None))),
+                        }
+                        None
+                    }
                     News::Contact(contact) => {
                         if self.home == Some(ip) && !contact {
                             self.sessions.values_mut().for_each(|s| s.heard_since = false);
--- a/crates/crossbar/src/gate.rs
+++ b/crates/crossbar/src/gate.rs
@@ -14,7 +14,7 @@
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
-use trunk::words::{Down, Up};
+use trunk::words::{Document, Down, Revision, Up};
 
 /// Time that is kept of a request's for its answer to reach the client.
 const MARGIN: Millis = 5;
@@ -63,6 +63,8 @@
 pub struct Gate {
     /// The configuration in force.
     pub configuration: Option<Rc<Configuration>>,
+    /// Its bytes, of which the next one may be a difference.
+    document: Option<Document>,
     /// The servers.
     pub servers: Servers,
     /// The tenants.
@@ -86,6 +88,7 @@
         let window = bounds.retry_window.as_millis() as Millis;
         Gate {
             configuration: None,
+            document: None,
             servers: Servers::new(zone, seed),
             tenants: Tenants::new(seed ^ 2),
             room: Room::default(),
@@ -102,23 +105,25 @@
         self.whole && self.configuration.is_some() && !self.leaving
     }
 
-    /// What a marker told changes. Gives the version that is in force, where it told one.
-    pub fn take(&mut self, now: Millis, change: Change) -> Option<u32> {
+    /// What tells the configuration in force from all others.
+    pub fn revision(&self) -> Option<Revision> {
+        self.document.as_ref().map(Document::revision)
+    }
+
+    /// What a marker told changes. Gives what to say to markers.
+    pub fn take(&mut self, now: Millis, from: Ipv4Addr, change: Change) -> Vec<(Ipv4Addr, Up)> {
         match change {
-            Change::Configuration(document) => {
-                let has = self.configuration.as_ref().map(|c| c.version);
-                if has.is_some_and(|has| has >= document.version) {
-                    return has;
+            Change::Configuration(document) => return self.put_in_force(from, document),
+            Change::Difference(difference) => {
+                if let Some(has) = self.has(difference.to.version) {
+                    return vec![(from, Up::Has(has))];
                 }
-                match configuration::parse(&document.bytes) {
-                    Ok(read) => {
-                        let version = read.version;
-                        self.configuration = Some(Rc::new(read));
-                        return Some(version);
-                    }
-                    // Markers check the same way before they take one in.
-                    Err(faults) => log::error!("a configuration that can't be used: {faults}"),
+                match self.document.as_ref().map(|document| difference.apply(document)) {
+                    Some(Ok(document)) => return self.put_in_force(from, document),
+                    Some(Err(fault)) => log::info!("a change from {from}, which is wanted whole: {fault}"),
+                    None => log::info!("a change from {from} where nothing is in force"),
                 }
+                return vec![(from, Up::Lacks(self.revision()))];
             }
             Change::Servers(told) => self.servers.take(now, told),
             Change::Whole => self.whole = true,
@@ -128,7 +133,36 @@
             }
             Change::Others(news) => self.tenants.hear(now, &news),
         }
-        None
+        Vec::new()
+    }
+
+    /// What is in force, where it is not older than this.
+    fn has(&self, version: u32) -> Option<Revision> {
+        self.document.as_ref().filter(|held| held.version >= version).map(Document::revision)
+    }
+
+    /// A configuration, checked whole, unless a newer one is in force: all markers are told, so that none tells it again.
+    fn put_in_force(&mut self, from: Ipv4Addr, document: Document) -> Vec<(Ipv4Addr, Up)> {
+        if let Some(has) = self.has(document.version) {
+            return vec![(from, Up::Has(has))];
+        }
+        match configuration::parse(&document.bytes) {
+            Ok(read) if read.version != document.version => {
+                log::error!("version {:08x} was told as {:08x}", read.version, document.version);
+                Vec::new()
+            }
+            Ok(read) => {
+                self.configuration = Some(Rc::new(read));
+                let has = Up::Has(document.revision());
+                self.document = Some(document);
+                self.control.tell_all(&has)
+            }
+            Err(faults) => {
+                // Markers check the same way before they take one in.
+                log::error!("a configuration that can't be used: {faults}");
+                Vec::new()
+            }
+        }
     }
 
     /// Routes a request, checks its key, and counts it for its tenant.
@@ -189,8 +223,7 @@
     pub fn on_down(&mut self, now: Millis, ip: Ipv4Addr, word: Down) -> Vec<(Ipv4Addr, Up)> {
         let (change, mut say) = self.control.take(now, ip, word);
         if let Some(change) = change {
-            let version = self.take(now, change);
-            say.extend(version.map(|version| (ip, Up::Has(version))));
+            say.extend(self.take(now, ip, change));
         }
         self.take_due(now, &mut say);
         say
@@ -199,8 +232,7 @@
     /// Takes in what markers told before it was to be taken.
     fn take_due(&mut self, now: Millis, say: &mut Vec<(Ipv4Addr, Up)>) {
         while let Some((ip, change)) = self.control.due() {
-            let version = self.take(now, change);
-            say.extend(version.map(|version| (ip, Up::Has(version))));
+            say.extend(self.take(now, ip, change));
         }
     }
 
--- a/crates/crossbar/src/run.rs
+++ b/crates/crossbar/src/run.rs
@@ -117,8 +117,7 @@
         let sender = Sender::default();
         let hello = {
             let gate = &mut *self.front.gate.borrow_mut();
-            let has = gate.configuration.as_ref().map(|c| c.version);
-            let servers = gate.servers.all();
+            let (has, servers) = (gate.revision(), gate.servers.all());
             gate.control.open(self.front.now(), ip, has, servers)
         };
         self.standing.borrow_mut().insert(ip, sender.clone());
--- a/crates/crossbar/tests/common/mod.rs
+++ b/crates/crossbar/tests/common/mod.rs
@@ -226,7 +226,7 @@
     }
 
     /// The end of links that a gatekeeper is.
-    fn gate(&self, g: usize) -> usize {
+    pub fn gate(&self, g: usize) -> usize {
         self.boards.len() + g
     }
 
@@ -239,12 +239,12 @@
     }
 
     /// The other markers that a marker is not cut from, either way.
-    fn others(&self, n: usize) -> Vec<usize> {
+    pub fn others(&self, n: usize) -> Vec<usize> {
         (0..self.boards.len()).filter(|m| *m != n && !self.is_apart(*m, n)).collect()
     }
 
     /// Whether anything is cut between an end and any marker.
-    fn is_cut_off(&self, n: usize) -> bool {
+    pub fn is_cut_off(&self, n: usize) -> bool {
         (0..self.boards.len()).any(|m| self.is_apart(n, m))
     }
 
@@ -505,8 +505,7 @@
             self.next += 1;
             let (id, ip) = (self.next, self.boards[m].ip);
             let Some(gate) = self.columns[g].gate.as_mut() else { return };
-            let has = gate.configuration.as_ref().map(|c| c.version);
-            let servers = gate.servers.all();
+            let (has, servers) = (gate.revision(), gate.servers.all());
             let hello = gate.control.open(now, ip, has, servers);
             self.columns[g].sessions.insert(ip, (id, now));
             self.say(g, vec![(ip, hello)]);
@@ -642,6 +641,11 @@
         id
     }
 
+    /// Whether a call still waits for its answer.
+    pub fn waits(&self, id: u64) -> bool {
+        self.calls.contains_key(&id)
+    }
+
     /// The caller has waited for long enough.
     pub fn forget(&mut self, id: u64) {
         self.calls.remove(&id);
@@ -687,7 +691,7 @@
     }
 
     /// Gatekeepers that are up and not cut from any marker.
-    fn reached(&self) -> Vec<&Gate> {
+    pub fn reached(&self) -> Vec<&Gate> {
         let reached = |g: &usize| !self.is_cut_off(self.gate(*g));
         (0..self.columns.len()).filter(reached).filter_map(|g| self.columns[g].gate.as_ref()).collect()
     }
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod core;
 pub mod duties;
 pub mod parts;
+pub mod pushes;
 pub mod registry;
 pub mod repair;
 pub mod run;
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -1,10 +1,11 @@
 //! Sessions of gatekeepers: who is a member, what each was told, and what waits until all know it.
 
 use crate::parts::{Millis, Output, SessionId};
+use crate::pushes::Pushes;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Document, Down, Instance, News};
+use trunk::words::{Document, Down, Instance, News, Revision};
 
 /// How long a server's call may wait until all know what it says; servers wait a second for their answer.
 const KNOWN: Millis = 550;
@@ -12,6 +13,9 @@
 const KNOWN_HERE: Millis = 350;
 /// A session that says nothing for so long is not heard: it says that it stands four times as often.
 const HEARD: Millis = 600;
+/// Whoever is not the home of a gatekeeper leaves a configuration to that for so long: most often it has it by then. A
+/// home that is cut off or frozen costs this and a tick, of the 2,000 that there are.
+const OTHERS: Millis = 200;
 /// Sessions at once.
 pub const SESSIONS_MAX: usize = 2_000;
 
@@ -29,10 +33,23 @@
     name: String,
     sent: u64,
     got: u64,
-    has: Option<u32>,
+    /// What it has in force, as it says.
+    has: Option<Revision>,
+    /// The newest that it was told here.
+    told: Option<Revision>,
+    /// Whether this marker is its home.
+    home: bool,
+    /// When it is told the newest, unless it says before that it has it.
+    due: Option<Millis>,
     heard: Millis,
 }
 
+impl Session {
+    fn is_behind(&self, version: u32) -> bool {
+        self.has.is_none_or(|has| has.version < version)
+    }
+}
+
 struct Wait {
     waiter: Waiter,
     sessions: BTreeMap<SessionId, u64>,
@@ -49,6 +66,7 @@
     sessions: BTreeMap<SessionId, Session>,
     waits: Vec<Wait>,
     ticket: u64,
+    pushes: Pushes,
 }
 
 impl Sessions {
@@ -65,7 +83,7 @@
         id: SessionId,
         life: u64,
         name: String,
-        has: Option<u32>,
+        has: Option<Revision>,
         sure: Option<&Arc<Document>>,
         servers: Vec<Instance>,
         markers: Vec<Ipv4Addr>,
@@ -76,9 +94,12 @@
             log::error!("more than {SESSIONS_MAX} sessions: {name} is not taken in");
             return;
         }
-        self.sessions.insert(id, Session { life, name, sent: 0, got: 0, has, heard: now });
-        if let Some(document) = sure.filter(|d| has.is_none_or(|has| has < d.version)) {
-            self.tell(id, News::Configuration(Document::clone(document)), out);
+        let session =
+            Session { life, name, sent: 0, got: 0, has, told: None, home: false, due: None, heard: now };
+        self.sessions.insert(id, session);
+        if let Some(document) = sure {
+            self.pushes.newest(document);
+            self.push(id, out);
         }
         self.tell(id, News::Servers(servers), out);
         self.tell(id, News::Markers(markers), out);
@@ -119,7 +140,47 @@
 
     /// How many of all sessions have this configuration in force.
     pub fn have(&self, version: u32) -> (usize, usize) {
-        (self.sessions.values().filter(|s| s.has >= Some(version)).count(), self.sessions.len())
+        (self.sessions.values().filter(|s| !s.is_behind(version)).count(), self.sessions.len())
+    }
+
+    /// A configuration can't be lost any more: those whose home is here are told at once, the others if they have not
+    /// got it soon.
+    pub fn configure(&mut self, now: Millis, document: &Arc<Document>, out: &mut Vec<Output>) {
+        self.pushes.newest(document);
+        let mut at_once = Vec::new();
+        for (id, session) in &mut self.sessions {
+            if session.home {
+                at_once.push(*id);
+            } else if session.is_behind(document.version) {
+                session.due = session.due.or(Some(now + OTHERS));
+            }
+        }
+        at_once.into_iter().for_each(|id| self.push(id, out));
+    }
+
+    /// Time passes: those that are told now have not got it from their homes.
+    pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let due = self.sessions.iter().filter(|(_, s)| s.due.is_some_and(|due| now >= due));
+        let due: Vec<SessionId> = due.map(|(id, _)| *id).collect();
+        due.into_iter().for_each(|id| self.push(id, out));
+    }
+
+    /// Tells one the newest configuration, unless it has it or was told.
+    fn push(&mut self, id: SessionId, out: &mut Vec<Output>) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.due = None;
+        let Some(newest) = self.pushes.revision().filter(|newest| session.is_behind(newest.version)) else {
+            return;
+        };
+        // What is on its way here has come by then; from elsewhere it may have newer.
+        let base = session.told.max(session.has);
+        if base == Some(newest) {
+            return;
+        }
+        session.told = Some(newest);
+        if let Some(news) = self.pushes.news(base) {
+            self.tell(id, news, out);
+        }
     }
 
     /// Tells one.
@@ -152,9 +213,30 @@
     }
 
     /// A gatekeeper has a configuration in force.
-    pub fn on_has(&mut self, id: SessionId, version: u32) {
+    pub fn on_has(&mut self, id: SessionId, has: Revision) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.has = session.has.max(Some(has));
+        let newest = self.pushes.revision();
+        if newest.is_some_and(|newest| !session.is_behind(newest.version)) {
+            session.due = None;
+        }
+    }
+
+    /// A gatekeeper can't apply a change, as something else is in force there: it is told the newest whole.
+    pub fn on_lacks(&mut self, id: SessionId, has: Option<Revision>, out: &mut Vec<Output>) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        (session.has, session.told, session.due) = (has, None, None);
+        let newest = self.pushes.revision().filter(|newest| session.is_behind(newest.version));
+        if let (Some(_), Some(news)) = (newest, self.pushes.news(None)) {
+            session.told = newest;
+            self.tell(id, news, out);
+        }
+    }
+
+    /// Whether this marker is a gatekeeper's home.
+    pub fn on_home(&mut self, id: SessionId, home: bool) {
         if let Some(session) = self.sessions.get_mut(&id) {
-            session.has = session.has.max(Some(version));
+            session.home = home;
         }
     }
 
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -408,10 +408,12 @@
                 if let (true, Some(life)) = (home, self.sessions.life(session)) {
                     self.tally.open(session, life);
                 }
+                self.sessions.on_home(session, home);
                 self.sessions_at = 0;
             }
             Up::Got(number) => self.sessions.on_got(session, number),
-            Up::Has(version) => self.sessions.on_has(session, version),
+            Up::Has(revision) => self.sessions.on_has(session, revision),
+            Up::Lacks(revision) => self.sessions.on_lacks(session, revision, out),
             Up::Adds(number, adds) => self.tally.on_adds(session, number, &adds),
         }
         self.after(now, out);
@@ -444,6 +446,7 @@
     /// Time passes.
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.core.on_tick(now, out);
+        self.sessions.on_tick(now, out);
         self.registry.on_tick(now, !self.contact);
         self.reap(now, out);
         let peers: Vec<Ipv4Addr> = self.core.live();
@@ -616,7 +619,7 @@
             .collect();
         out.retain(|o| !matches!(o, Output::Sure(_)));
         for document in sure {
-            self.sessions.tell_all(&News::Configuration(Document::clone(&document)), out);
+            self.sessions.configure(now, &document, out);
         }
         // After what is safe, so that whoever hears of contact has what came with it.
         self.watch_contact(now, out);
--- a/crates/trunk/src/words.rs
+++ b/crates/trunk/src/words.rs
@@ -318,8 +318,8 @@
         life: u64,
         /// Its name.
         name: String,
-        /// The configuration that it has.
-        has: Option<u32>,
+        /// The configuration that it has in force.
+        has: Option<Revision>,
         /// The servers that it knows.
         servers: Vec<Instance>,
     },
@@ -328,7 +328,10 @@
     /// All news up to this number are taken in.
     Got(u64),
     /// This configuration is in force here.
-    Has(u32),
+    Has(Revision),
+    /// A change was told that begins from another configuration than the one in force here, which is this: the
+    /// newest is wanted whole.
+    Lacks(Option<Revision>),
     /// Requests let in, by tenant, since the last time, under a number that rises.
     Adds(u64, Vec<(String, u64)>),
     /// Nothing, to be heard.
@@ -352,6 +355,8 @@
 pub enum News {
     /// A configuration to have in force.
     Configuration(Document),
+    /// The same, as what differs from the one that is in force there.
+    Change(Difference),
     /// What has changed of servers.
     Servers(Vec<Instance>),
     /// All is told that this marker knows, which is in this zone.
