Take for an answer only what can be no other request's, and look before each use

Cause: `dials::read` took any answer with Not-Executed, and any 421, as "has not run", also one with another request's id or, behind an earlier exchange, with none. Late on a used connection it let a one-time request go out a second time while the first ran. By the test below also: a body that only the end of the connection ends passed as whole when cut; a 503, 429 or 408 with the own id but without Not-Executed was passed on as a promise though the request had run; the first of two ids counted; one-time requests went on connections at rest for up to 4 s where the server had promised nothing (Keep-Alive tells whole seconds only). Ruled out: the library giving back a request of which bytes went out: it gives back only what it has not taken from its queue (`Client::recv_msg`, `Envelope`); now the count of written bytes decides in any case. Change: an answer must carry the one id of its request, or none where it turns the request away and is the first on its connection. Anything else ends the connection, and the request may have run. One-time requests go on a used connection only within 0.6 of what Keep-Alive told. Before a connection is used again the socket itself is asked whether something has come. The clocks of dials and front are tokio's, so that tests move them.

--- a/crates/base/src/wire.rs
+++ b/crates/base/src/wire.rs
@@ -82,6 +82,17 @@
         self.written.get()
     }
 
+    /// Whether the connection is open and nothing has come that is not read yet, as the system knows it now: the
+    /// runtime may learn of it later.
+    pub fn is_quiet(&self) -> bool {
+        use rustix::net::{recv, RecvFlags};
+        let mut byte = [0_u8; 1];
+        let stream = self.stream.borrow();
+        let Some((stream, _)) = &*stream else { return false };
+        let came = recv(stream, &mut byte[..], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+        matches!(came, Err(rustix::io::Errno::AGAIN))
+    }
+
     /// Closes the connection before this returns. Merely ending the tasks round it would leave it open until
     /// they are next run, and a further attempt could meet this one still out.
     pub fn close(&self) {
--- a/crates/crossbar/src/dials.rs
+++ b/crates/crossbar/src/dials.rs
@@ -1,29 +1,37 @@
 //! Connections to servers: one request at a time on each, kept while it may be used again.
+//!
+//! What comes on a connection is taken for the answer to a request only if it can be no other's. Whatever else
+//! comes, and whatever ends early, leaves the request as one that may have run, and ends the connection.
 
 use crate::journey::Outcome;
 use bytes::Bytes;
 use granitelead_base::set_user_timeout;
 use granitelead_base::wire::{Place, Wire, WireIo};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, CONNECTION, CONTENT_ENCODING};
+use hyper::header::{HeaderMap, CONNECTION, CONTENT_ENCODING, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use plugboard::configuration::Repeats;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// Time for a connection to come up; within a region it takes some milliseconds.
 const CONNECT: Duration = Duration::from_millis(250);
 /// How long sent bytes may go without being acknowledged.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
-/// For how long an idle connection is kept where its server does not say, and the part of what it says.
-const KEEP: (Duration, f64) = (Duration::from_secs(4), 0.6);
+/// For how long an idle connection is kept for what may run more than once where its server promises nothing.
+const KEEP: Duration = Duration::from_secs(4);
+/// The part that is used of the time that a server promises to keep an idle connection.
+const PROMISED: f64 = 0.6;
 /// Idle connections kept to one server.
 const IDLE_MAX: usize = 4;
 /// Largest answer that is held as a whole; a larger one is passed on as it comes.
@@ -68,7 +76,20 @@
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
     wire: Rc<Wire>,
+    /// Whether it has carried no request yet, so that nothing but the next one's answer can come on it.
+    fresh: bool,
+    /// When it is closed.
     until: Instant,
+    /// Until when its server promises to keep it.
+    promised: Instant,
+}
+
+/// How long a connection may rest after an answer.
+struct Rest {
+    /// Until it is closed.
+    kept: Duration,
+    /// As far as its server promises to keep it.
+    promised: Duration,
 }
 
 /// All connections to servers.
@@ -98,17 +119,22 @@
         });
     }
 
-    fn take(&self, to: SocketAddr) -> Option<Idle> {
+    /// A connection that rests and may carry such a request.
+    fn take(&self, to: SocketAddr, repeats: Repeats) -> Option<Idle> {
         let now = Instant::now();
         let mut all = self.idle.borrow_mut();
         let idle = all.get_mut(&to)?;
+        idle.retain(|one| now < one.until && one.sender.is_ready() && !one.sender.is_closed());
         // The one that was used last: the others may then be closed.
-        while let Some(one) = idle.pop() {
-            if now < one.until && one.sender.is_ready() && !one.sender.is_closed() {
+        loop {
+            let fits = |one: &Idle| repeats == Repeats::Safe || now < one.promised;
+            let one = idle.remove(idle.iter().rposition(fits)?);
+            // The library sees what has come when the socket is next polled; by then the request would be sent.
+            if one.wire.is_quiet() {
                 return Some(one);
             }
+            one.wire.close();
         }
-        None
     }
 
     fn give_back(&self, to: SocketAddr, one: Idle) {
@@ -137,55 +163,59 @@
             let _ = connection.await;
         });
         wire.driven_by(task.abort_handle());
-        Some(Idle { sender, wire, until: Instant::now() })
+        let now = Instant::now();
+        Some(Idle { sender, wire, fresh: true, until: now, promised: now })
     }
 
-    /// Sends a request to a server and reads the answer, in this time at most. `id` is that of the client's try.
-    /// Dropping it closes the connection.
+    /// Sends a request to a server and reads the answer, in this time at most. `id` is that of the client's try;
+    /// `repeats` says on which connections it may go. Dropping it closes the connection.
     pub async fn send(
         self: &Rc<Self>,
         to: SocketAddr,
         request: Request<Full<Bytes>>,
         id: &[u8],
+        repeats: Repeats,
         time: Duration,
     ) -> Attempt {
         let begun = Instant::now();
         let mut request = request;
         // A connection that was closed meanwhile gives the request back unsent.
         for _ in 0..2 {
-            let Some(mut one) = (match self.take(to) {
+            let Some(mut one) = (match self.take(to, repeats) {
                 Some(one) => Some(one),
                 None => self.open(to, time).await,
             }) else {
                 return (Outcome::NotSent, None);
             };
             let guard = Guard(Some(one.wire.clone()));
+            let fresh = std::mem::replace(&mut one.fresh, false);
+            let written = one.wire.written();
             let left = time.saturating_sub(begun.elapsed());
             let sent = one.sender.try_send_request(request);
             let response = match tokio::time::timeout(left, sent).await {
                 Err(_) => return (Outcome::Silent, None),
                 Ok(Err(mut e)) => match e.take_message() {
-                    Some(unsent) => {
+                    // The library gives back only what it has not begun; what counts is what went out.
+                    Some(unsent) if one.wire.written() == written => {
                         request = unsent;
                         continue;
                     }
-                    None => return (Outcome::Broken, None),
+                    _ => return (Outcome::Broken, None),
                 },
                 Ok(Ok(response)) => response,
             };
             let left = time.saturating_sub(begun.elapsed());
-            let read = tokio::time::timeout(left, read(response, id)).await;
+            let read = tokio::time::timeout(left, read(response, id, fresh)).await;
             let (outcome, answer, whole) = match read {
                 Err(_) => return (Outcome::Silent, None),
                 Ok(None) => return (Outcome::Broken, None),
                 Ok(Some(read)) => read,
             };
-            if let (true, Some(keep)) =
-                (whole, answer.as_ref().map_or(Some(KEEP.0), |a| keep(a.head.headers())))
-            {
+            if let (true, Some(rest)) = (whole, answer.as_ref().and_then(|a| keep(a.head.headers()))) {
                 // What comes after a whole answer belongs to no request, and ends the connection.
                 guard.keep();
-                one.until = Instant::now() + keep;
+                let now = Instant::now();
+                (one.until, one.promised) = (now + rest.kept, now + rest.promised);
                 let dials = self.clone();
                 spawn_local(async move {
                     if one.sender.ready().await.is_ok() {
@@ -220,7 +250,7 @@
 }
 
 /// For how long a connection may be used again after this answer, if it may.
-fn keep(headers: &HeaderMap) -> Option<Duration> {
+fn keep(headers: &HeaderMap) -> Option<Rest> {
     let closes = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
     if closes.flat_map(|value| value.split(',')).any(|word| word.trim().eq_ignore_ascii_case("close")) {
         return None;
@@ -230,22 +260,71 @@
         let (name, value) = part.split_once('=')?;
         name.trim().eq_ignore_ascii_case("timeout").then(|| value.trim().parse::<u32>().ok())?
     });
-    Some(timeout.map_or(KEEP.0, |secs| Duration::from_secs(u64::from(secs)).mul_f64(KEEP.1)))
+    Some(match timeout {
+        Some(secs) => {
+            let kept = Duration::from_secs(u64::from(secs)).mul_f64(PROMISED);
+            Rest { kept, promised: kept }
+        }
+        // Only whole seconds are told: it may be less than one.
+        None => Rest { kept: KEEP, promised: Duration::ZERO },
+    })
+}
+
+/// Whose answer a head is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Whose {
+    /// It carries the id of the request.
+    Own,
+    /// It carries none.
+    Unnamed,
+    /// It carries another's, or more than one.
+    Other,
 }
 
-/// Reads an answer and says what it is; whether the connection is done with it.
-async fn read(response: Response<Incoming>, id: &[u8]) -> Option<(Outcome, Option<Answer>, bool)> {
+fn whose(headers: &HeaderMap, id: &[u8]) -> Whose {
+    let mut ids = headers.get_all(names::ATTEMPT).iter();
+    match (ids.next(), ids.next()) {
+        (None, _) => Whose::Unnamed,
+        (Some(one), None) if one.as_bytes() == id => Whose::Own,
+        _ => Whose::Other,
+    }
+}
+
+/// Whether the end of a body can be told from its being cut: it has a length, or comes in chunks.
+fn is_framed(headers: &HeaderMap, body: &Incoming) -> bool {
+    let coding = headers.get_all(TRANSFER_ENCODING).iter().next_back().and_then(|value| value.to_str().ok());
+    let last = coding.and_then(|value| value.rsplit(',').next());
+    body.size_hint().exact().is_some() || last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
+}
+
+/// Reads an answer and says what it is; whether the connection is done with it. `fresh` says that the request was the
+/// first on its connection.
+async fn read(
+    response: Response<Incoming>,
+    id: &[u8],
+    fresh: bool,
+) -> Option<(Outcome, Option<Answer>, bool)> {
     let (parts, mut body) = response.into_parts();
     let status = parts.status.as_u16();
-    let own = parts.headers.get(names::ATTEMPT).is_some_and(|value| value.as_bytes() == id);
     let turned_away = parts.headers.contains_key(names::NOT_EXECUTED);
-    // Without the id of the request it may be the answer to another.
-    if !(own || turned_away || status == 421) {
+    // A server that turns a request away may name none. That is this one's only where no other can be owed: behind an
+    // earlier exchange it may be a surplus of that one's, while this request runs.
+    let unnamed = fresh && (turned_away || status == 421);
+    match whose(&parts.headers, id) {
+        Whose::Own => {}
+        Whose::Unnamed if unnamed => {}
+        Whose::Unnamed | Whose::Other => return None,
+    }
+    // These promise that it has not run; without saying so it may have.
+    if matches!(status, 408 | 429 | 503) && !turned_away {
         return None;
     }
     let sealed = parts.headers.contains_key(names::SEAL);
     let success = (200..300).contains(&status);
-    if (success && !sealed) || parts.headers.contains_key(CONTENT_ENCODING) || parts.status.is_informational()
+    if (success && !sealed)
+        || parts.headers.contains_key(CONTENT_ENCODING)
+        || parts.status.is_informational()
+        || !is_framed(&parts.headers, &body)
     {
         return None;
     }
--- a/crates/crossbar/src/front.rs
+++ b/crates/crossbar/src/front.rs
@@ -21,8 +21,9 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Time for a body to come.
 const BODY_TIME: Duration = Duration::from_secs(10);
@@ -238,7 +239,8 @@
             journey.tried.push(life);
             let more = journey.repeats == Repeats::Safe && (journey.tried.len() as u32) < journey.attempts;
             let time = if more { (left as f64 * PATIENCE) as Millis } else { left };
-            let (outcome, answer) = self.dials.send(address, request, &id, Duration::from_millis(time)).await;
+            let time = Duration::from_millis(time);
+            let (outcome, answer) = self.dials.send(address, request, &id, journey.repeats, time).await;
             let ended = self.now();
             there.end(Some(&outcome), ended - now);
             let usual = self.gate.borrow().servers.typical(&pass.service, journey.aim).unwrap_or(50.0);
--- a/crates/crossbar/src/run.rs
+++ b/crates/crossbar/src/run.rs
@@ -164,7 +164,8 @@
     TcpListener::bind(address).await.context(ListenSnafu { address })
 }
 
-async fn serve_client(front: Rc<Front>, seat: Seat, stream: TcpStream) {
+/// Serves one client's connection until it ends.
+pub async fn serve_client(front: Rc<Front>, seat: Seat, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     set_user_timeout(&stream, UNACKNOWLEDGED, &Cell::new(1));
     let head = front.gate.borrow().configuration.as_ref().map_or(HEAD_LEAST, |c| c.limits.head);
