--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -3,7 +3,7 @@
 use crate::calls;
 use crate::core::{self, Core};
 use crate::parts::{Millis, Output, Reply, SessionId};
-use crate::state::Marker;
+use crate::state::{Call, Marker};
 use crate::store::{self, Found, Job, Store};
 use granitelead_base::Backoff;
 use hyper::body::Incoming;
@@ -79,6 +79,33 @@
     next: Cell<u64>,
     connections: Cell<usize>,
     leaving: Cell<bool>,
+    said: Said,
+}
+
+/// What was said so far: messages and bytes, by kind.
+#[derive(Default)]
+struct Said {
+    markers: RefCell<BTreeMap<&'static str, (u64, u64)>>,
+    gatekeepers: RefCell<BTreeMap<&'static str, (u64, u64)>>,
+}
+
+/// Says a word and counts it.
+fn say(line: &Sender, word: &Word, counts: &RefCell<BTreeMap<&'static str, (u64, u64)>>) {
+    let size = line.send(word);
+    if size > 0 {
+        let mut counts = counts.borrow_mut();
+        let (messages, bytes) = counts.entry(word.kind()).or_default();
+        (*messages, *bytes) = (*messages + 1, *bytes + size as u64);
+    }
+}
+
+/// The status with what was said so far.
+fn with_counts(reply: Reply, said: &Said) -> Reply {
+    let Reply::Json(text) = &reply else { return reply };
+    let Ok(serde_json::Value::Object(mut status)) = serde_json::from_str(text) else { return reply };
+    status.insert("said-to-markers".into(), serde_json::json!(*said.markers.borrow()));
+    status.insert("said-to-gatekeepers".into(), serde_json::json!(*said.gatekeepers.borrow()));
+    Reply::Json(serde_json::Value::Object(status).to_string())
 }
 
 impl Exchange {
@@ -100,12 +127,12 @@
                 Output::Send(ip, word) => {
                     let me = self.marker.borrow().me();
                     if let Some(line) = self.lines.borrow().get(&ip) {
-                        line.send(&Word::Between(me, word));
+                        say(line, &Word::Between(me, word), &self.said.markers);
                     }
                 }
                 Output::Tell(id, word) => {
                     if let Some(session) = self.sessions.borrow().get(&id) {
-                        session.send(&Word::Down(word));
+                        say(session, &Word::Down(word), &self.said.gatekeepers);
                     }
                 }
                 Output::Write(ticket, keeping) => {
@@ -191,12 +218,18 @@
     let reply = match calls::read(request).await {
         Err(reply) => reply,
         Ok(call) => {
+            let asks = call == Call::Status;
             let (send, answer) = oneshot::channel();
             let id = exchange.number();
             exchange.calls.borrow_mut().insert(id, send);
             exchange.step(|marker, now, out| marker.on_call(now, id, call, out));
             let reply = answer.await;
-            reply.unwrap_or_else(|_| Reply::fault(plugboard::kinds::Kind::Internal, "no answer"))
+            let reply = reply.unwrap_or_else(|_| Reply::fault(plugboard::kinds::Kind::Internal, "no answer"));
+            if asks {
+                with_counts(reply, &exchange.said)
+            } else {
+                reply
+            }
         }
     };
     Ok(calls::write(reply, &path, exchange.control, exchange.leaving.get()))
@@ -305,6 +338,7 @@
         next: Cell::new(0),
         connections: Cell::new(0),
         leaving: Cell::new(false),
+        said: Said::default(),
     });
     let taken = exchange.clone();
     spawn_local(async move {
--- a/crates/trunk/src/line.rs
+++ b/crates/trunk/src/line.rs
@@ -62,6 +62,7 @@
     bytes: RefCell<Vec<u8>>,
     more: Notify,
     closed: Cell<bool>,
+    carried: Cell<(u64, u64)>,
 }
 
 /// The sending end of a connection. Words are sent in order; what is not sent when it ends is lost.
@@ -69,18 +70,26 @@
 pub struct Sender(Rc<Out>);
 
 impl Sender {
-    /// Sends a word, unless the connection has ended.
-    pub fn send(&self, word: &Word) {
+    /// Sends a word, unless the connection has ended. Gives its size, bytes; 0 where it is not sent.
+    pub fn send(&self, word: &Word) -> usize {
         if self.0.closed.get() {
-            return;
+            return 0;
         }
         let mut waiting = self.0.bytes.borrow_mut();
-        waiting.extend(frames::write(word));
+        let frame = frames::write(word);
+        let size = frame.len();
+        waiting.extend(frame);
         if waiting.len() > WAITING_MAX {
             self.0.closed.set(true);
         }
         drop(waiting);
         self.0.more.notify_one();
+        size
+    }
+
+    /// What the connection has carried so far, bytes: out, and in.
+    pub fn carried(&self) -> (u64, u64) {
+        self.0.carried.get()
     }
 
     /// Ends the connection.
@@ -112,14 +121,19 @@
     set_user_timeout(&stream, UNACKNOWLEDGED, &Cell::new(1));
     let (read, write) = stream.into_split();
     let ended = tokio::select! {
-        ended = come(read, silence, take) => ended,
+        ended = come(read, silence, &sender, take) => ended,
         ended = go(write, &sender) => ended,
     };
     sender.close();
     ended
 }
 
-async fn come(mut from: OwnedReadHalf, silence: Duration, mut take: impl FnMut(Word)) -> Ended {
+async fn come(
+    mut from: OwnedReadHalf,
+    silence: Duration,
+    sender: &Sender,
+    mut take: impl FnMut(Word),
+) -> Ended {
     let mut cutter = Cutter::default();
     let mut piece = [0; PIECE];
     loop {
@@ -127,7 +141,11 @@
             Err(_) => return Ended::Silent,
             Ok(Err(source)) => return Ended::Broken { source },
             Ok(Ok(0)) => return Ended::Closed,
-            Ok(Ok(size)) => cutter.feed(&piece[..size]),
+            Ok(Ok(size)) => {
+                let (out, into) = sender.0.carried.get();
+                sender.0.carried.set((out, into + size as u64));
+                cutter.feed(&piece[..size]);
+            }
         }
         loop {
             match cutter.word() {
@@ -149,6 +167,9 @@
             sender.0.more.notified().await;
         } else if let Err(source) = to.write_all(&bytes).await {
             return Ended::Broken { source };
+        } else {
+            let (out, into) = sender.0.carried.get();
+            sender.0.carried.set((out + bytes.len() as u64, into));
         }
     }
 }
--- a/crates/trunk/src/words.rs
+++ b/crates/trunk/src/words.rs
@@ -380,3 +380,41 @@
     /// From a marker to a gatekeeper.
     Down(Down),
 }
+
+impl Word {
+    /// The kind of the message, for counts of what is said.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Word::Between(_, between) => match between {
+                Between::Hear { .. } => "Hear",
+                Between::Hold(..) | Between::Copy(..) => "Hold",
+                Between::Sure(_) => "Sure",
+                Between::Servers(..) | Between::Reaped(..) => "Servers",
+                Between::Told(_) => "Told",
+                Between::Alive(_) => "Alive",
+                Between::Sessions(..) | Between::Left(_) => "Sessions",
+                Between::Adds(_) => "Adds",
+                _ => "rounds",
+            },
+            Word::Up(up) => match up {
+                Up::Hello { .. } => "Hello",
+                Up::Got(_) => "Got",
+                Up::Has(_) => "Has",
+                Up::Adds(..) => "Adds",
+                Up::Ping => "Ping",
+                _ => "other",
+            },
+            Word::Down(down) => match down {
+                Down::Totals(..) => "Totals",
+                Down::Pong => "Pong",
+                Down::News(_, news) => match news {
+                    News::Configuration(_) => "Configuration",
+                    News::Servers(_) => "Servers",
+                    News::Markers(_) => "Markers",
+                    News::Gatekeepers(..) => "Gatekeepers",
+                    _ => "other",
+                },
+            },
+        }
+    }
+}
