Measure what each role costs at a size with hollow fleets

Cause: the operators' two-year size can't be had on one machine as processes; slopes can. Sizes above the code's bounds, half of the memory or the descriptors are refused with what would do. Ruled out: a Gate for each hollow gatekeeper (a copy of configuration and servers each); an imitation of the words. The fit (least squares on lines and powers) is plain functions.

--- a/crates/crossbar/src/run.rs
+++ b/crates/crossbar/src/run.rs
@@ -26,13 +26,13 @@
 use trunk::words::{Down, Up, Word};
 
 /// How often what was let in is told, and sessions are looked after.
-const BATCH: Duration = Duration::from_millis(50);
+pub const BATCH: Duration = Duration::from_millis(50);
 /// How often a session says that it stands.
-const PING: Duration = Duration::from_millis(150);
+pub const PING: Duration = Duration::from_millis(150);
 /// The same for one that is not the home.
-const PING_OTHER: Duration = Duration::from_millis(550);
+pub const PING_OTHER: Duration = Duration::from_millis(550);
 /// A marker that says nothing for so long is gone: it would have answered three times.
-const SILENCE: Duration = Duration::from_millis(1_800);
+pub const SILENCE: Duration = Duration::from_millis(1_800);
 /// How often idle connections and the settings file are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
 /// How long new connections are taken after SIGTERM: until the platform has seen that this gatekeeper is not ready.
--- /dev/null
+++ b/crates/lab/src/hollow/gatekeepers.rs
@@ -0,0 +1,207 @@
+//! Hollow gatekeepers: the sessions of `crossbar`, held by its own state machine over the system's own lines, and nothing
+//! else. What a gatekeeper keeps of what it is told (configuration, servers) is kept once for all of one thread.
+
+use super::configuration::tenant;
+use super::seen::Seen;
+use crossbar::control::{Change, Control};
+use crossbar::run::{BATCH, PING, PING_OTHER, SILENCE};
+use crossbar::servers::Servers;
+use crossbar::Millis;
+use granitelead_base::Backoff;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::task::spawn_local;
+use trunk::line::{self, Sender};
+use trunk::words::{Down, News, Up, Word};
+
+/// What all gatekeepers of one thread share.
+pub struct Shared {
+    seen: Arc<Seen>,
+    begun: Instant,
+    port: u16,
+    /// What each would hold by itself: fed by the first one.
+    servers: RefCell<Servers>,
+    /// The newest version that was read and found good.
+    read: Cell<Option<u32>>,
+    tenants: usize,
+    requests: f64,
+}
+
+impl Shared {
+    /// Of a thread; markers talk at `port`, and each gatekeeper lets in so many `requests` a second.
+    pub fn new(seen: Arc<Seen>, begun: Instant, port: u16, tenants: usize, requests: f64) -> Shared {
+        Shared {
+            seen,
+            begun,
+            port,
+            servers: RefCell::new(Servers::new("", 1)),
+            read: Cell::new(None),
+            tenants,
+            requests,
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.begun.elapsed().as_millis() as Millis
+    }
+}
+
+/// One hollow gatekeeper.
+struct Gatekeeper {
+    shared: Rc<Shared>,
+    control: RefCell<Control>,
+    standing: RefCell<BTreeMap<Ipv4Addr, Sender>>,
+    busy: RefCell<BTreeSet<Ipv4Addr>>,
+    backoff: RefCell<Backoff>,
+    version: Cell<Option<u32>>,
+    whole: Cell<bool>,
+    ready: Cell<bool>,
+    feeds: bool,
+    joined: Instant,
+}
+
+/// Runs one until its thread ends. `feeds` says that what it is told of servers is kept for all.
+pub async fn run(shared: Rc<Shared>, name: String, zone: String, seeds: Vec<Ipv4Addr>, feeds: bool) {
+    let control = Control::new(&name, &zone, seeds, fastrand::u64(..));
+    let gatekeeper = Rc::new(Gatekeeper {
+        shared,
+        control: RefCell::new(control),
+        standing: RefCell::default(),
+        busy: RefCell::default(),
+        backoff: RefCell::new(Backoff::new(fastrand::u64(..))),
+        version: Cell::new(None),
+        whole: Cell::new(false),
+        ready: Cell::new(false),
+        feeds,
+        joined: Instant::now(),
+    });
+    let mut due = 0.0;
+    loop {
+        gatekeeper.look();
+        due += gatekeeper.shared.requests * BATCH.as_secs_f64();
+        while due >= 1.0 {
+            due -= 1.0;
+            let drawn = tenant(fastrand::usize(..gatekeeper.shared.tenants));
+            gatekeeper.control.borrow_mut().add(&drawn);
+        }
+        let batch = gatekeeper.control.borrow_mut().batch(gatekeeper.shared.now());
+        gatekeeper.say(batch);
+        tokio::time::sleep(BATCH).await;
+    }
+}
+
+impl Gatekeeper {
+    fn say(&self, words: impl IntoIterator<Item = (Ipv4Addr, Up)>) {
+        let standing = self.standing.borrow();
+        for (ip, word) in words {
+            if let Some(line) = standing.get(&ip) {
+                let word = Word::Up(word);
+                self.shared.seen.said(word.kind(), line.send(&word));
+            }
+        }
+    }
+
+    fn look(self: &Rc<Self>) {
+        let wanted = self.control.borrow_mut().wanted(&self.busy.borrow());
+        if let Some(ip) = wanted {
+            self.busy.borrow_mut().insert(ip);
+            spawn_local(self.clone().hold(ip));
+        }
+    }
+
+    async fn hold(self: Rc<Self>, ip: Ipv4Addr) {
+        let stream = match line::dial(SocketAddr::from((ip, self.shared.port))).await {
+            Ok(stream) => stream,
+            Err(ended) => {
+                log::info!("{ip}: {ended}");
+                let wait = self.backoff.borrow_mut().draw();
+                tokio::time::sleep(wait).await;
+                self.busy.borrow_mut().remove(&ip);
+                return;
+            }
+        };
+        self.backoff.borrow_mut().reset();
+        let sender = Sender::default();
+        let servers = if self.whole.get() { self.shared.servers.borrow().all() } else { Vec::new() };
+        let has = self.version.get();
+        let hello = self.control.borrow_mut().open(self.shared.now(), ip, has, servers);
+        self.standing.borrow_mut().insert(ip, sender.clone());
+        self.busy.borrow_mut().remove(&ip);
+        self.say([(ip, hello)]);
+        let (gatekeeper, stands) = (self.clone(), Rc::new(Cell::new(false)));
+        let told = stands.clone();
+        let carried = line::carry(stream, sender.clone(), SILENCE, move |word| {
+            if matches!(word, Word::Down(Down::News(_, News::Whole(_)))) && !told.replace(true) {
+                gatekeeper.shared.seen.session(true);
+            }
+            gatekeeper.take(ip, word);
+        });
+        let pings = async {
+            let (mut said, mut counted) = (Instant::now(), 0);
+            loop {
+                tokio::time::sleep(PING).await;
+                let home = self.control.borrow().home() == Some(ip);
+                if home || said.elapsed() >= PING_OTHER {
+                    said = Instant::now();
+                    self.say([(ip, Up::Ping)]);
+                }
+                let (_, into) = sender.carried();
+                self.shared.seen.came(into - counted);
+                counted = into;
+            }
+        };
+        tokio::select! {
+            ended = carried => log::info!("session with {ip}: {ended}"),
+            () = pings => {}
+        }
+        if stands.get() {
+            self.shared.seen.session(false);
+        }
+        self.standing.borrow_mut().remove(&ip);
+        let say = self.control.borrow_mut().close(ip);
+        self.say(say);
+    }
+
+    fn take(&self, ip: Ipv4Addr, word: Word) {
+        let Word::Down(word) = word else { return };
+        let (change, mut say) = self.control.borrow_mut().take(self.shared.now(), ip, word);
+        match change {
+            Some(Change::Configuration(document)) => {
+                let has = self.version.get();
+                let version = if has.is_some_and(|has| has >= document.version) {
+                    has
+                } else {
+                    self.read(document.version, &document.bytes)
+                };
+                say.extend(version.map(|version| (ip, Up::Has(version))));
+            }
+            Some(Change::Servers(told)) if self.feeds => {
+                self.shared.servers.borrow_mut().take(self.shared.now(), told);
+            }
+            Some(Change::Whole) => self.whole.set(true),
+            _ => {}
+        }
+        if self.whole.get() && self.version.get().is_some() && !self.ready.replace(true) {
+            self.shared.seen.joined(self.joined.elapsed());
+        }
+        self.say(say);
+    }
+
+    /// Has a configuration in force. All are told the same bytes: they are read by the first of a thread.
+    fn read(&self, version: u32, bytes: &[u8]) -> Option<u32> {
+        if self.shared.read.get().is_none_or(|read| read < version) {
+            if let Err(faults) = plugboard::configuration::parse(bytes) {
+                log::error!("a configuration that can't be used: {faults}");
+                return self.version.get();
+            }
+            self.shared.read.set(Some(version));
+        }
+        self.version.set(Some(version));
+        self.shared.seen.in_force(version);
+        Some(version)
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod compare;
 pub mod experiment;
+pub mod fit;
 pub mod history;
+pub mod hollow;
 pub mod judge;
 pub mod loopback;
 pub mod model;
--- a/crates/lab/src/loopback/mod.rs
+++ b/crates/lab/src/loopback/mod.rs
@@ -92,6 +92,16 @@
         self.at(200, number)
     }
 
+    /// Where a marker listens; its talk with others is at the next port.
+    pub fn marker(self, number: usize) -> SocketAddr {
+        self.at(202, number)
+    }
+
+    /// Where a gatekeeper of the system listens.
+    pub fn crossbar(self, number: usize) -> SocketAddr {
+        self.at(210, number)
+    }
+
     /// Where the counter listens.
     pub fn counter(self) -> SocketAddr {
         self.at(201, 0)
--- a/crates/lab/src/loopback/process.rs
+++ b/crates/lab/src/loopback/process.rs
@@ -27,6 +27,10 @@
     ListService,
     /// A gatekeeper that does one thing wrong, by its name.
     Double(String),
+    /// A marker of the system.
+    Marker,
+    /// A gatekeeper of the system.
+    Crossbar,
 }
 
 impl Program {
@@ -35,6 +39,8 @@
             Program::Gatekeeper => vec!["gatekeeper"],
             Program::ListService => vec!["list-service"],
             Program::Double(name) => vec!["double", name],
+            Program::Marker => vec!["marker"],
+            Program::Crossbar => vec!["crossbar"],
         }
     }
 
@@ -44,6 +50,8 @@
             Program::Gatekeeper => Some("granitelead"),
             Program::ListService => Some("granitelead-discovery"),
             Program::Double(_) => None,
+            Program::Marker => Some("marker"),
+            Program::Crossbar => Some("crossbar"),
         }
     }
 }
--- a/crates/lab/src/loopback/system.rs
+++ b/crates/lab/src/loopback/system.rs
@@ -82,7 +82,7 @@
 }
 
 /// One call over HTTP; its status and body.
-async fn call(to: SocketAddr, request: Request<Full<Bytes>>) -> io::Result<(u16, Bytes)> {
+pub(crate) async fn call(to: SocketAddr, request: Request<Full<Bytes>>) -> io::Result<(u16, Bytes)> {
     let called = async {
         let stream = TcpStream::connect(to).await?;
         let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
@@ -95,7 +95,13 @@
     timeout(CALL, called).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
-fn request(method: &str, path: &str, headers: &[(&str, &str)], body: String) -> Request<Full<Bytes>> {
+/// A request with a body.
+pub(crate) fn request(
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: String,
+) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = method.parse().unwrap_or_default();
     *request.uri_mut() = path.parse().unwrap_or_default();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,9 @@
 use clap::{Parser, Subcommand};
 use granitelead_lab::compare::{paired, table};
 use granitelead_lab::experiment::{Experiment, Mode};
+use granitelead_lab::hollow::rig::hollow;
+use granitelead_lab::hollow::size::Size;
+use granitelead_lab::hollow::sweep::{draw, sweep, Swept};
 use granitelead_lab::loopback::demo::demo;
 use granitelead_lab::loopback::process::{be, WORD};
 use granitelead_lab::loopback::system::system;
@@ -53,6 +56,20 @@
         #[arg(long)]
         once: bool,
     },
+    /// Plays hollow gatekeepers and servers against real markers, and measures what each role costs at that size.
+    #[command(args_conflicts_with_subcommands = true)]
+    Hollow {
+        #[command(flatten)]
+        size: Size,
+        /// Where the result goes, as JSON.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Where the built programs lie; the laboratory has them in itself where it is absent.
+        #[arg(long)]
+        programs: Option<PathBuf>,
+        #[command(subcommand)]
+        also: Option<Also>,
+    },
     /// Is a process of a fleet's.
     #[command(name = WORD, hide = true)]
     AsChild {
@@ -134,6 +151,32 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Also {
+    /// Plays one number over several sizes, the others fixed.
+    Sweep {
+        /// Which number.
+        swept: Swept,
+        /// Its sizes.
+        #[arg(long, value_delimiter = ',', required = true)]
+        sizes: Vec<usize>,
+        #[command(flatten)]
+        fixed: Size,
+        /// Where results go (NAME.json).
+        #[arg(long, default_value = "experiments/capacity")]
+        out: PathBuf,
+        /// Where the built programs lie; the laboratory has them in itself where it is absent.
+        #[arg(long)]
+        programs: Option<PathBuf>,
+    },
+    /// Makes tables (TABLES.md) and plots (NAME.svg) anew from the results of sweeps.
+    Draw {
+        /// Where the results lie.
+        #[arg(long, default_value = "experiments/capacity")]
+        from: PathBuf,
+    },
+}
+
 fn main() -> ExitCode {
     // A fleet of which a part has failed unseen would be judged by what is left of it. The system ends all children.
     let says = std::panic::take_hook();
@@ -155,6 +198,16 @@
             demo(&out, seconds).map(|report| println!("{}", report.display())).map_err(Failure::from)
         }
         What::System { port, out, once } => system(port, &out, once).map_err(Failure::from),
+        What::Hollow { size, json, programs, also } => match also {
+            None => one_hollow(&size, json.as_deref(), programs),
+            Some(Also::Sweep { swept, sizes, fixed, out, programs }) => {
+                sweep(swept, &sizes, &fixed, programs.as_deref(), &out)
+                    .map(|file| println!("{}", file.display()))
+            }
+            Some(Also::Draw { from }) => {
+                draw(&from).map(|files| files.iter().for_each(|file| println!("{}", file.display())))
+            }
+        },
         What::Run { files, out, seeds, jobs, json } => run(&files, &out, &seeds, jobs, json),
         What::Check { files } => check(&files),
         What::Compare { before, after, json } => compare(&before, &after, json),
@@ -169,6 +222,16 @@
     }
 }
 
+fn one_hollow(size: &Size, json: Option<&Path>, programs: Option<PathBuf>) -> Result<(), Failure> {
+    let outcome = hollow(size, programs)?;
+    print!("{}", outcome.table());
+    if let Some(file) = json {
+        let text = serde_json::to_string_pretty(&outcome)? + "\n";
+        fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    Ok(())
+}
+
 fn check(files: &[PathBuf]) -> Result<(), Failure> {
     let mut bad = 0;
     for file in files {
