--- a/crates/crossbar/tests/caller.rs
+++ b/crates/crossbar/tests/caller.rs
@@ -521,9 +521,11 @@
         }
         let mut gate = Gate::new(Control::new("g", "a", Vec::new(), seed), "a", &bounds(), seed);
         let document = Document { version: 1, bytes: configuration() };
-        assert_eq!(gate.take(0, Change::Configuration(document)), Some(1));
-        gate.take(0, Change::Servers(servers));
-        gate.take(0, Change::Whole);
+        let marker = Ipv4Addr::new(10, 0, 0, 1);
+        gate.take(0, marker, Change::Configuration(document));
+        assert_eq!(gate.revision().map(|has| has.version), Some(1));
+        gate.take(0, marker, Change::Servers(servers));
+        gate.take(0, marker, Change::Whole);
         let front = Rc::new(Front::new(gate, Dials::new(100), 1 << 20));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (at, clients) = (listener.local_addr().unwrap(), Rc::new(Clients::default()));
