--- a/crates/marker/tests/history.rs
+++ b/crates/marker/tests/history.rs
@@ -329,10 +329,12 @@
 }
 
 #[gtest]
-#[ignore = "takes minutes: run by hand, see above"]
+#[ignore = "takes a quarter of a minute: run by hand, see above"]
 fn five_thousand_changes() {
     expect_that!(folder(5_000, SIZE), lt(1 << 20));
     expect_that!(folder(500, 500_000), lt(4 << 20));
+    // The largest that is read.
+    expect_that!(folder(8, 8 << 20), lt(24 << 20));
     let mut history = History::new(3);
     history.changes(3);
     for n in 0..3 {
