Sessions with markers that are out of contact do not count among a gatekeeper's three

Where there are more markers than sessions, all three of a gatekeeper may be with markers that are cut off: it looks for up to three more at once, and ends the newest beyond three when those are back. After a start of all, when nobody is in contact yet, a new session has a second before others are looked for beside it, so that a fleet does not open twice as many.

--- a/crates/crossbar/src/control.rs
+++ b/crates/crossbar/src/control.rs
@@ -16,6 +16,8 @@
 pub const SESSIONS: usize = 3;
 /// And those with markers that are out of contact, beyond them.
 const OUT_OF_CONTACT_MAX: usize = 3;
+/// How long a new session may be with one that is not in contact yet before others are looked for beside it.
+const BEGINS: Millis = 1_000;
 /// When no marker has been in contact for so long, since the start or of those that were, one that is not has to do.
 const ALONE: Millis = 3_000;
 /// A home that says nothing for so long may be cut off: it answers four times as often.
@@ -126,11 +128,11 @@
 
     /// Which marker to try for a further session, if one is wanted; `busy` are being tried.
     pub fn wanted(&mut self, busy: &BTreeSet<Ipv4Addr>) -> Option<Ipv4Addr> {
-        let near = self.sessions.values().filter(|s| s.contact).count();
+        // A new one has its time: after a start of all nobody is in contact yet.
+        let counts = |s: &&Session| s.contact || self.now < s.opened + BEGINS;
+        let near = self.sessions.values().filter(counts).count();
         let all = self.sessions.len() + busy.len();
-        // One that has not said yet is as good as in contact: it says so at once.
-        let unsaid = self.sessions.values().filter(|s| s.zone.is_none()).count();
-        if near + unsaid + busy.len() >= SESSIONS || all >= SESSIONS + OUT_OF_CONTACT_MAX {
+        if near + busy.len() >= SESSIONS || all >= SESSIONS + OUT_OF_CONTACT_MAX {
             return None;
         }
         let free = |ip: &&Ipv4Addr| !self.sessions.contains_key(*ip) && !busy.contains(*ip);
--- a/crates/crossbar/tests/common/mod.rs
+++ b/crates/crossbar/tests/common/mod.rs
@@ -16,7 +16,8 @@
 //! that are up and not cut off, `touch` that these hear their homes, `lists m1 2` how many servers a marker knows, `reaper m1`
 //! whose duty that is by all markers that are not cut off, `answered s1`, `waits s1` and `says s1 503` of the last call of a server, of
 //! `put` or of `read` (`reads 7` what it gave), `confirmed 7` of an order, `contact m1 yes` what a marker says of itself and `tells m1
-//! g1 no` what it told a gatekeeper last, `ready g1`, `unready g1`, `holds g1 7`, `home g1 m2` (`-` for none, `!m2` for
+//! g1 no` what it told a gatekeeper last, `sessions 3 6` how many sessions each gatekeeper has with
+//! markers in contact, and at the most with all, `ready g1`, `unready g1`, `holds g1 7`, `home g1 m2` (`-` for none, `!m2` for
 //! any other).
 
 // Each file of tests uses its part of it.
@@ -785,6 +786,14 @@
                 let told = self.columns[self.number(to)].told.get(&ip);
                 assert_eq!(told, Some(&(*yes == "yes")), "{name} to {to} at {now}");
             }
+            ["sessions", n, all] => {
+                for column in &self.columns {
+                    let near = column.told.values().filter(|contact| **contact).count();
+                    let has = (near, column.sessions.len());
+                    let max: usize = all.parse().unwrap();
+                    assert!(near == n.parse::<usize>().unwrap() && has.1 <= max, "at {now}: {has:?}");
+                }
+            }
             ["ready", name] => assert!(self.named(name).is_ready(), "{name} at {now}"),
             ["unready", name] => assert!(!self.named(name).is_ready(), "{name} at {now}"),
             ["holds", name, version] => {
--- a/crates/crossbar/tests/contact.rs
+++ b/crates/crossbar/tests/contact.rs
@@ -250,6 +250,26 @@
     );
 }
 
+/// Where there are more markers than sessions, a gatekeeper looks for others beside those that are out of contact, and
+/// has three again when these are back.
+#[gtest]
+fn sessions_with_markers_out_of_contact_do_not_count_among_the_three() {
+    play(
+        "ms    | m1   | m2   | m3 | m4 | m5 | g1 | g2 | g3 | g4 | g5 | g6 | outside
+         0     | up   | up   | up | up | up | up | up | up | up | up | up |
+         2000  |      |      |    |    |    |    |    |    |    |    |    | put 1 m1
+         2900  |      |      |    |    |    |    |    |    |    |    |    | sessions 3 3
+         3000  | cut  |      |    |    |    |    |    |    |    |    |    |
+         3000  |      | cut  |    |    |    |    |    |    |    |    |    |
+         5000  |      |      |    |    |    |    |    |    |    |    |    | sessions 3 5
+         5000  |      |      |    |    |    |    |    |    |    |    |    | touch
+         8000  | join |      |    |    |    |    |    |    |    |    |    |
+         8000  |      | join |    |    |    |    |    |    |    |    |    |
+         12000 |      |      |    |    |    |    |    |    |    |    |    | sessions 3 3
+         12000 |      |      |    |    |    |    |    |    |    |    |    | have 1",
+    );
+}
+
 /// The reaper is heard no more, but hears: it ends nobody, though its duty is not another's yet.
 #[gtest]
 fn a_reaper_that_is_out_of_contact_ends_no_server() {
