Let a marker that leaves say so, and go on until others hold what it holds

Cause: a backup told to end told nobody, and ended after 0.4 s; the primary missed it 0.7 s later and then began a round. A primary that left handed over to whom it did not hear, and its next took the leaver as a backup again. Change: `Standing` in `Hear` says that a marker leaves, at once. The primary begins a round while it still runs; a leaver holds only where too few others can. It ends (0.4 s at least) once an epoch that somebody leads has all copies elsewhere, or everybody leaves, or half a second before the grace period does: then the log says what it held alone. A primary hands over only to a backup that is heard and stays; if that one is dead, a holder that leaves takes over again, a second later than others. The core does not change for it: it may be back in a second. A backup whose line broke counts as silent 250 ms later unless it is heard again. `/System.Status` and the log say what is missing for the losses (too-few, core-needed, copies-needed, leaves).

--- a/crates/marker/src/core.rs
+++ b/crates/marker/src/core.rs
@@ -49,6 +49,8 @@
 const CALL: Millis = 900;
 /// A primary that was told to end finishes what is under way in this time, and hands over.
 const FINISH: Millis = 150;
+/// A holder that leaves takes over so much later than others would.
+const LEFT: Millis = 1_000;
 /// Calls that wait at once.
 const CALLS_MAX: usize = 256;
 /// Markers that are known at once.
@@ -80,6 +82,12 @@
     pub rounds: (u64, u64),
     /// Who holds each duty, by what is heard here, and under which number.
     pub duties: Vec<(Duty, Option<(Node, Number)>)>,
+    /// How large the core must be, and how many must hold everything, for the losses to be borne.
+    pub needed: (usize, usize),
+    /// What is missing for them, as it was said last (each 150 ms); see [`Core::shortages`].
+    pub short: Vec<String>,
+    /// Whether this marker was told to end.
+    pub leaves: bool,
 }
 
 /// The core as one marker runs it.
@@ -96,6 +104,10 @@
     said: Millis,
     said_outside: Millis,
     primary: Option<(Ipv4Addr, Millis)>,
+    /// The newest epoch that somebody was heard to lead.
+    led_epoch: Number,
+    /// What is missing, as it was said last.
+    short: Vec<String>,
     suspect_after: Millis,
     round_begun: Millis,
     calm: bool,
@@ -114,7 +126,6 @@
     written: u64,
     writing_since: Millis,
     then: VecDeque<(u64, After)>,
-    leaving: bool,
     leaves_by: Millis,
 }
 
@@ -177,6 +188,8 @@
             said: 0,
             said_outside: 0,
             primary: None,
+            led_epoch: Number::default(),
+            short: Vec::new(),
             suspect_after,
             round_begun: now,
             calm: false,
@@ -194,7 +207,6 @@
             written: 0,
             writing_since: now,
             then: VecDeque::new(),
-            leaving: false,
             leaves_by: now,
         }
     }
@@ -220,6 +232,9 @@
             refused: self.refused,
             rounds: self.rounds,
             duties: self.duties.holders(self.now),
+            needed: (self.core_needed(), self.losses + 1),
+            short: self.short.clone(),
+            leaves: self.standing.leaves,
         }
     }
 
@@ -335,7 +350,7 @@
             Between::HandOver(number) => {
                 let mine = |e: &Epoch| e.number == number && e.holds(self.me());
                 let mine = self.agreement.epoch().is_some_and(mine);
-                if mine && self.agreement.asks().is_none() && !self.leaving && !self.is_old() {
+                if mine && self.agreement.asks().is_none() && !self.standing.leaves && !self.is_old() {
                     self.begin_round(out);
                 }
             }
@@ -361,6 +376,7 @@
         let now = self.now;
         if now >= self.said + HEAR {
             self.said = now;
+            self.note_shortages();
             self.say_hear(out);
             // What was asked may have been lost with a line.
             self.agree(out, Agreement::again);
@@ -382,10 +398,10 @@
         }
         if self.agreement.leads().is_some() {
             self.watch_as_primary(out);
-        } else if self.agreement.asks().is_none() && !self.leaving {
+        } else if self.agreement.asks().is_none() {
             self.watch_as_other(out);
         }
-        let may = self.voters().contains(&self.me()) && !self.leaving;
+        let may = self.voters().contains(&self.me()) && !self.standing.leaves;
         for (duty, number) in self.duties.on_tick(now, may && self.hears_most()) {
             self.keep(After::Ballot(duty, number), out);
         }
--- a/crates/marker/src/core/hearing.rs
+++ b/crates/marker/src/core/hearing.rs
@@ -165,6 +165,9 @@
         }
         let mine = self.agreement.epoch().map(|e| e.number).unwrap_or_default();
         self.agreement.learn_round(epoch.round);
+        if leads {
+            self.led_epoch = self.led_epoch.max(epoch);
+        }
         if leads && epoch >= mine && epoch >= self.agreement.promised() {
             self.primary = Some((from.ip, now));
         } else if self.primary.is_some_and(|(ip, _)| ip == from.ip) {
@@ -187,6 +190,11 @@
     /// The line to another marker broke: if that is the primary, it may have ended.
     pub fn on_broken(&mut self, now: Millis, ip: Ipv4Addr) {
         self.now = self.now.max(now);
+        // A process that ends breaks its line at once; one that lives is heard again before it counts as silent.
+        let until = self.now + BROKE.0 + HEAR / 2;
+        if let Some(at) = self.heard.get_mut(&ip).and_then(|heard| heard.at.as_mut()) {
+            *at = (*at).min(until.saturating_sub(HEARD));
+        }
         let Some((_, at)) = self.primary.filter(|(primary, at)| *primary == ip && self.now < *at + HEARD)
         else {
             return;
--- a/crates/marker/src/core/orders.rs
+++ b/crates/marker/src/core/orders.rs
@@ -130,7 +130,7 @@
         if self.calls.len() >= CALLS_MAX {
             return out.push(Output::Answer(id, Reply::fault(Kind::NoRoom, "too many calls wait")));
         }
-        if self.leaving {
+        if self.standing.leaves && self.agreement.leads().is_none() {
             return out.push(Output::Answer(id, Reply::fault(Kind::NotReady, "this marker leaves")));
         }
         self.calls.push(Call { id, asked, until: self.now + CALL });
--- a/crates/marker/src/core/rounds.rs
+++ b/crates/marker/src/core/rounds.rs
@@ -1,7 +1,7 @@
 //! When a round is begun, who belongs to the core and holds what in the epoch to be, and how a marker leaves.
 
 use super::hearing::Heard;
-use super::{Core, ALONE, DISK, FINISH, HEAR, LOST, SLOW, SLOW_FOR, STANDS_IN, SUSPECT};
+use super::{Core, ALONE, DISK, FINISH, HEAR, LEFT, LOST, SLOW, SLOW_FOR, STANDS_IN, SUSPECT};
 use crate::agreement::{most, Agreement};
 use crate::parts::{Millis, Output};
 use std::collections::BTreeSet;
@@ -36,8 +36,14 @@
         let can = |node: &&Node| **node != self.me() && (willing.contains(node) || calm(node));
         let mut backups: Vec<Node> = core.iter().filter(can).copied().collect();
         let is_slow = |node: &Node| self.slow.get(&node.ip).is_some_and(|until| self.now < *until);
+        // One that leaves holds only where too few others can, and says then what it held.
+        let stays = |node: &Node| !self.standing(*node).leaves;
+        if backups.iter().filter(|node| stays(node)).count() >= wanted {
+            backups.retain(stays);
+        }
         // Of those that are as good, zones without a holder come first, then who holds already.
-        let rank = |node: &Node| (is_slow(node), !self.hears(*node), self.standing(*node).forgets);
+        let rank =
+            |node: &Node| (!stays(node), is_slow(node), !self.hears(*node), self.standing(*node).forgets);
         let mut zones = vec![self.standing.zone.clone()];
         for place in 0..wanted.min(backups.len()) {
             let zone = |node: &Node| self.standing(*node).zone;
@@ -119,11 +125,9 @@
         }
         let since = self.primary.map_or(self.started, |(_, at)| at);
         let me = self.me();
-        if !epoch.holds(me)
-            || self.is_old()
-            || self.now < since + self.suspect_after
-            || self.now < self.next_round
-        {
+        // One that leaves takes over only where nobody else does.
+        let patience = self.suspect_after + if self.standing.leaves { LEFT } else { 0 };
+        if !epoch.holds(me) || self.is_old() || self.now < since + patience || self.now < self.next_round {
             return;
         }
         // Most of the core must miss a primary: one that hears nobody, or is alone in not hearing it, waits.
@@ -165,38 +169,112 @@
         let Some(epoch) = self.agreement.epoch() else { return };
         let late = if now > self.holding_since + SLOW { self.agreement.late() } else { Vec::new() };
         let silent = backups.iter().any(|node| !self.hears(*node));
+        let leaving = backups.iter().any(|node| self.standing(*node).leaves);
+        let leaving =
+            leaving && self.stay().iter().filter(|node| **node != self.me()).count() >= backups.len();
         let unsettled = epoch.core != epoch.before || self.next_core(epoch) != epoch.core;
         let went_back = backups.iter().any(|node| self.went_back.contains(node));
         let until = now + SLOW_FOR;
         let any_late = !late.is_empty();
         self.slow.extend(late.into_iter().map(|node| (node.ip, until)));
-        if (silent || any_late || unsettled || went_back) && now >= self.next_round && self.hears_most() {
+        let wanted = silent || any_late || unsettled || went_back || leaving;
+        if wanted && now >= self.next_round && self.hears_most() {
             self.begin_round(out);
         }
     }
 
-    /// The process is about to end: whoever can take over does so at once.
+    /// What is missing for as many losses as are to be borne, as far as is known here, in words; nothing where all is well.
+    pub fn shortages(&self) -> Vec<String> {
+        let Some(epoch) = self.agreement.epoch() else { return vec!["no core is known".into()] };
+        let (losses, needed) = (self.losses, self.core_needed());
+        let there = |node: &&Node| self.hears(**node) && !self.standing(**node).leaves;
+        let heard = epoch.core.iter().filter(there).count();
+        let bears = heard.saturating_sub(epoch.core.len() / 2 + 1);
+        let holders = epoch.primary.iter().chain(&epoch.backups).filter(there).count();
+        let outside = self.heard.values().filter(|h| h.lately(self.now) && !epoch.core.contains(&h.node));
+        let core = epoch.core.iter().filter(|node| !self.standing(**node).forgets);
+        let disks = core.count() + outside.filter(|h| !h.standing.forgets).count();
+        let forget = epoch.core.iter().filter(|node| self.standing(**node).forgets).count();
+        let mut short = Vec::new();
+        if epoch.core != epoch.before {
+            short.push("the core is being changed".into());
+        }
+        if epoch.core.len() < needed {
+            short.push(format!("the core is {}, and {needed} are needed", epoch.core.len()));
+        }
+        if bears < losses {
+            short.push(format!("the core bears {bears} more losses of {losses}"));
+        }
+        if holders < losses + 1 {
+            short.push(format!("{holders} copies of {} are heard", losses + 1));
+        }
+        if disks < needed {
+            short.push(format!("{disks} markers with a disk are known, and {needed} are needed"));
+        }
+        if forget > 0 {
+            short.push(format!("{forget} of the core have no disk"));
+        }
+        short
+    }
+
+    /// Says in the log what changes of [`Core::shortages`].
+    pub(super) fn note_shortages(&mut self) {
+        let short = self.shortages();
+        if short != self.short {
+            if short.is_empty() {
+                log::info!("as many losses are borne again as must be");
+            } else {
+                log::warn!("too few: {}", short.join("; "));
+            }
+            self.short = short;
+        }
+    }
+
+    /// Those of the core that are heard and stay, this marker included if it does.
+    fn stay(&self) -> Vec<Node> {
+        let stays = |node: &Node| self.hears(*node) && !self.standing(*node).leaves;
+        self.voters().into_iter().filter(stays).collect()
+    }
+
+    /// The process is to end: others are told, and whoever can take over does so at once. It goes on as it is until
+    /// [`Core::may_end`].
     pub fn on_leave(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
-        if std::mem::replace(&mut self.leaving, true) {
+        if std::mem::replace(&mut self.standing.leaves, true) {
             return;
         }
         self.agree(out, Agreement::give_up);
         self.duties.lay_down();
-        (self.said, self.leaves_by) = (0, self.now + FINISH);
+        (self.said_outside, self.leaves_by) = (0, self.now + FINISH);
+        self.say_hear(out);
         self.hand_over(out);
     }
 
-    /// Leaves what is to come to a backup, once what is under way here is held or has taken too long.
+    /// Whether nothing is lost when the process ends: an epoch that most of the core keeps has all its copies elsewhere, as
+    /// far as is known here, or everybody else leaves too.
+    pub fn may_end(&self) -> bool {
+        let me = self.me();
+        let Some(epoch) = self.agreement.epoch() else { return true };
+        let leaves = |node: &Node| *node == me || self.standing(*node).leaves;
+        let elsewhere = !epoch.holds(me) && self.led_epoch >= epoch.number;
+        elsewhere || epoch.core.iter().all(leaves)
+    }
+
+    /// The version that only this marker and others that leave may hold, where one ends before [`Core::may_end`].
+    pub fn held_alone(&self) -> Option<u32> {
+        self.agreement.document().filter(|_| !self.may_end()).map(|d| d.version)
+    }
+
+    /// Leaves what is to come to a backup that stays, once what is under way here is held or has taken too long. Without
+    /// one it goes on as primary.
     pub(super) fn hand_over(&mut self, out: &mut Vec<Output>) {
-        if !self.leaving || (self.agreement.is_holding() && self.now < self.leaves_by) {
+        if !self.standing.leaves || (self.agreement.is_holding() && self.now < self.leaves_by) {
             return;
         }
         let Some((number, backups)) = self.agreement.leads() else { return };
-        let first = backups.first().copied();
+        let stay = self.stay();
+        let Some(node) = backups.iter().find(|node| stay.contains(node)).copied() else { return };
         self.agree(out, Agreement::depose);
-        if let Some(node) = first {
-            out.push(Output::Send(node.ip, Between::HandOver(number)));
-        }
+        out.push(Output::Send(node.ip, Between::HandOver(number)));
     }
 }
--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -38,8 +38,10 @@
 const SETTINGS: Duration = Duration::from_secs(2);
 /// Longest wait before another marker is dialled again: one that was cut off is back soon after its links are.
 const REDIAL: Duration = Duration::from_millis(500);
-/// How long a marker that was told to end goes on, so that whoever takes over has done so.
+/// How long a marker that was told to end goes on at least, so that whoever takes over has done so.
 const LEAVE: Duration = Duration::from_millis(400);
+/// It goes on until all that it holds is held elsewhere, but ends this long before the grace period does.
+const LEAVE_BEFORE: Duration = Duration::from_millis(500);
 
 /// Why a marker ends.
 #[derive(Debug, Snafu)]
@@ -380,7 +382,15 @@
     }
     exchange.leaving.set(true);
     exchange.step(|marker, now, out| marker.on_leave(now, out));
+    let last = settings.bounds.grace.saturating_sub(LEAVE_BEFORE).max(LEAVE);
+    let told = Instant::now();
     tokio::time::sleep(LEAVE).await;
+    while !exchange.marker.borrow().may_end() && told.elapsed() < last {
+        tokio::time::sleep(TICK).await;
+    }
+    if let Some(version) = exchange.marker.borrow().held_alone() {
+        log::error!("ends with version {version:08x} in its folder, which nobody who stays is known to hold");
+    }
     Ok(())
 }
 
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -455,11 +455,21 @@
         self.after(now, out);
     }
 
-    /// The process is about to end.
+    /// The process is about to end, once it may.
     pub fn on_leave(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.core.on_leave(now, out);
     }
 
+    /// See [`Core::may_end`].
+    pub fn may_end(&self) -> bool {
+        self.core.may_end()
+    }
+
+    /// See [`Core::held_alone`].
+    pub fn held_alone(&self) -> Option<u32> {
+        self.core.held_alone()
+    }
+
     /// Time passes.
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.core.on_tick(now, out);
@@ -690,6 +700,10 @@
             "ends-kept": kept,
             "ends-handed-over": handed,
             "ends-dropped": dropped,
+            "core-needed": view.needed.0,
+            "copies-needed": view.needed.1,
+            "too-few": view.short,
+            "leaves": view.leaves,
             "rounds-begun": view.rounds.0,
             "rounds-won": view.rounds.1,
         })
--- a/crates/marker/tests/common/world.rs
+++ b/crates/marker/tests/common/world.rs
@@ -36,6 +36,8 @@
     pub deaf: bool,
     pub held: Vec<(Node, Between)>,
     pub founder: bool,
+    /// When it was told to end.
+    pub told: u64,
     pub zone: &'static str,
     /// It has no disk: what it holds ends with its process.
     pub forgets: bool,
@@ -138,6 +140,7 @@
             deaf: false,
             held: Vec::new(),
             founder: n < founders,
+            told: 0,
             zone: "",
             forgets: false,
         };
@@ -227,6 +230,7 @@
             "quick" => self.places[n].disk_ms = 5,
             "stop" => {
                 self.step(n, |core, now, out| core.on_leave(now, out));
+                self.places[n].told = self.now;
                 let start = self.places[n].start;
                 self.at(400, Event::Ended(n, start));
             }
@@ -370,7 +374,16 @@
                     self.step(n, |core, now, out| core.on_tick(now, out));
                     self.at(25, Event::Tick(n, start));
                 }
-                Event::Ended(n, start) if self.places[n].start == start => self.down(n),
+                Event::Ended(n, start) if self.places[n].start == start => {
+                    let told = self.places[n].told;
+                    // As long as what it holds is held by nobody else, and the grace period lasts.
+                    let core = self.places[n].core.as_ref();
+                    if core.is_some_and(|core| !core.may_end()) && self.now < told + 5_500 {
+                        self.at(25, Event::Ended(n, start));
+                    } else {
+                        self.down(n);
+                    }
+                }
                 Event::Call(id, n, tries) if self.tries.get(&id) == Some(&tries) => {
                     let next = (n + 1) % self.places.len();
                     let reached = self.places[n].life == Life::Up;
