Say at once to a marker that comes up that it is heard

Cause: gatekeepers wait for a marker in contact before they take a first configuration; markers that came up told each other within 150 ms and more that they hear each other, and asked what they missed over lines that were not up yet. After a closing fault that is the worst window. Change: a line that comes up, and a marker that is newly heard, bring the next Hear forward; what was asked while a line was down is asked again when it is up.

--- a/crates/marker/src/core/hearing.rs
+++ b/crates/marker/src/core/hearing.rs
@@ -144,6 +144,7 @@
         }
         if self.heard.len() < KNOWN_MAX || self.heard.contains_key(&from.ip) {
             let heard = self.heard.entry(from.ip).or_insert_with(|| Heard::named(from));
+            let known = heard.node == from && heard.lately(now);
             // A folder that was set back to an older copy of itself does not have what it once had.
             if heard.node == from && heard.at.is_some() && sure < heard.sure {
                 log::warn!(
@@ -155,6 +156,10 @@
             }
             (heard.node, heard.at, heard.led, heard.sure) = (from, Some(now), led, sure);
             (heard.hears_me, heard.standing) = (others.contains(&me.ip), standing);
+            if !known {
+                // It waits to be told that it is heard.
+                (self.said, self.said_outside) = (0, 0);
+            }
         }
         // Those that others hear are dialled too; they are heard once they answer.
         for ip in others.iter().filter(|ip| **ip != me.ip) {
@@ -187,6 +192,11 @@
         }
     }
 
+    /// The line to another marker is up: it hears at once that this one is there, not when that is due.
+    pub fn on_reached(&mut self) {
+        (self.said, self.said_outside) = (0, 0);
+    }
+
     /// The line to another marker broke: if that is the primary, it may have ended.
     pub fn on_broken(&mut self, now: Millis, ip: Ipv4Addr) {
         self.now = self.now.max(now);
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -371,7 +371,13 @@
 
     /// A connection to another marker is up, or down.
     pub fn on_line(&mut self, now: Millis, ip: Ipv4Addr, up: bool, out: &mut Vec<Output>) {
-        if !up {
+        if up {
+            self.core.on_reached();
+            // What was asked while the line was down went nowhere.
+            if let Some(asking) = &mut self.asking {
+                asking.at = 0;
+            }
+        } else {
             self.core.on_broken(now, ip);
         }
         let peer = self.peers.entry(ip).or_default();
