--- a/crates/lab/src/hollow/processes.rs
+++ b/crates/lab/src/hollow/processes.rs
@@ -15,30 +15,42 @@
 pub struct Usage {
     /// Processor time of all its threads, s.
     pub processor: f64,
-    /// The most memory that it had, and what it has now, bytes.
-    pub memory: (u64, u64),
+    /// The most memory that it had, bytes.
+    pub memory: u64,
     /// Descriptors that are open.
     pub descriptors: u64,
     /// Bytes written to files (sockets don't count).
     pub written: u64,
 }
 
+fn text(pid: u32, name: &str) -> String {
+    std::fs::read_to_string(format!("/proc/{pid}/{name}")).unwrap_or_default()
+}
+
+/// The number after a name at the begin of a line; 0 where there is none.
+fn number(text: &str, name: &str) -> u64 {
+    let found = text.lines().find_map(|line| line.strip_prefix(name));
+    found.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+/// The memory that a process has now, bytes; nothing where it is no more. For looks each second, which need not list
+/// descriptors as [`usage`] does.
+pub fn resident(pid: u32) -> u64 {
+    number(&text(pid, "status"), "VmRSS:") << 10
+}
+
 /// What the system has counted of a process; nothing where it is no more.
 pub fn usage(pid: u32) -> Usage {
-    let text = |name: &str| std::fs::read_to_string(format!("/proc/{pid}/{name}")).unwrap_or_default();
+    let text = |name: &str| text(pid, name);
     let stat = text("stat");
     let fields: Vec<&str> = stat.rsplit_once(')').map_or("", |(_, rest)| rest).split_whitespace().collect();
     let ticks = |n: usize| fields.get(n).and_then(|field| field.parse::<f64>().ok()).unwrap_or(0.0);
     let (status, io) = (text("status"), text("io"));
-    let number = |text: &str, name: &str| -> u64 {
-        let found = text.lines().find_map(|line| line.strip_prefix(name));
-        found.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or(0)
-    };
     let open = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
     Usage {
         // Fields 14 and 15 of the line, the first two of which stand before the bracket.
         processor: (ticks(11) + ticks(12)) / TICKS,
-        memory: (number(&status, "VmHWM:") << 10, number(&status, "VmRSS:") << 10),
+        memory: number(&status, "VmHWM:") << 10,
         descriptors: open as u64,
         written: number(&io, "wchar:"),
     }
--- a/crates/lab/src/hollow/rig.rs
+++ b/crates/lab/src/hollow/rig.rs
@@ -3,7 +3,7 @@
 use super::configuration::configuration;
 use super::gatekeepers::{self, Shared};
 use super::outcome::{times, Outcome};
-use super::processes::{usage, Places, Usage};
+use super::processes::{resident, usage, Places, Usage};
 use super::seen::Seen;
 use super::servers;
 use super::size::{zone, Machine, Size};
@@ -132,7 +132,7 @@
             }
         }
         let pids = self.markers.iter().chain(&self.crossbar).filter_map(Process::id);
-        let used: u64 = pids.chain([std::process::id()]).map(|pid| usage(pid).memory.1).sum();
+        let used: u64 = pids.chain([std::process::id()]).map(resident).sum();
         if used > self.memory_max {
             let (used, most) = (used >> 20, self.memory_max >> 20);
             return Err(format!(
@@ -311,7 +311,7 @@
     };
     let processor = |after: &Usage, before: &Usage| (after.processor - before.processor) / seconds;
     both("processor", "cores", per_marker(&processor));
-    both("memory", "MB", per_marker(&|after, _| after.memory.0 as f64 / 1e6));
+    both("memory", "MB", per_marker(&|after, _| after.memory as f64 / 1e6));
     both("descriptors", "open", per_marker(&|after, _| after.descriptors as f64));
     both(
         "files",
@@ -354,14 +354,14 @@
     }
     put("gatekeeper.out B/s".into(), out);
     put("gatekeeper.real.processor cores".into(), processor(&after.crossbar, &before.crossbar));
-    put("gatekeeper.real.memory MB".into(), after.crossbar.memory.0 as f64 / 1e6);
+    put("gatekeeper.real.memory MB".into(), after.crossbar.memory as f64 / 1e6);
     put("gatekeeper.real.descriptors open".into(), after.crossbar.descriptors as f64);
     put(
         "hollow.processor-each cores".into(),
         processor(&after.own, &before.own) / (each + size.servers as f64),
     );
     put("hollow.processor cores".into(), processor(&after.own, &before.own));
-    put("hollow.memory MB".into(), after.own.memory.0 as f64 / 1e6);
+    put("hollow.memory MB".into(), after.own.memory as f64 / 1e6);
     put("server.beats beats/s".into(), (after.beats.0 - before.beats.0) as f64 / seconds);
     put("server.beats-lost beats/s".into(), (after.beats.1 - before.beats.1) as f64 / seconds);
 }
