--- a/crates/crossbar/tests/common/mod.rs
+++ b/crates/crossbar/tests/common/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! Cells of a marker or gatekeeper: `up`, `kill` (ends the process; its peers see it), `power` (they don't), `cut` (both ways:
 //! of a gatekeeper from all markers, of a marker from the others), `join` (ends all cuts of it; `back`: only the others'
-//! lines to it break). Of a marker also `deaf` (hears no other marker), `mute` (no other marker hears it), `alone` (cut from
+//! lines to it break). Of a marker also `join m2`, `deaf` (hears no other marker), `mute` (no other marker hears it), `alone` (cut from
 //! markers and gatekeepers), `cut gates` (from these only), `cut servers` and `cut operators`; of a gatekeeper `cut m1`.
 //!
 //! Cells of what happens outside: `put 7` sends a configuration, `read` asks for it, `beat s1`, `drain s1`, `leave s1` are calls
@@ -15,7 +15,7 @@
 //! own until `dies s1`. What must hold: `have 7` and `know 2` (servers that may get something new) at all gatekeepers
 //! that are up and not cut off, `touch` that these hear their homes, `lists m1 2` how many servers a marker knows, `reaper m1`
 //! whose duty that is by all markers that are not cut off, `answered s1`, `waits s1` and `says s1 503` of the last call of a server, of
-//! `put` or of `read` (`reads 7` what it gave), `confirmed 7` of an order, `contact m1 yes` what a marker says of itself and `tells m1
+//! `put` or of `read` (`reads 7` what it gave), `confirmed 7` of an order, `contact m1 yes` and `version m1 7` what a marker says of itself and `tells m1
 //! g1 no` what it told a gatekeeper last, `sessions 3 6` how many sessions each gatekeeper has with
 //! markers in contact, and at the most with all, `ready g1`, `unready g1`, `holds g1 7`, `home g1 m2` (`-` for none, `!m2` for
 //! any other).
@@ -34,7 +34,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::time::Duration;
-use trunk::words::{Between, Down, Instance, News, Node, Up, Word};
+use trunk::words::{Between, Down, Instance, News, Node, State, Up, Word};
 
 pub const RATE: f64 = 100.0;
 /// Those who call markers, as ends of links.
@@ -62,6 +62,8 @@
     owed: f64,
     /// What markers told of their contact, by this process.
     pub told: BTreeMap<Ipv4Addr, bool>,
+    /// The state of each server as each session told it last.
+    listed: BTreeMap<Ipv4Addr, BTreeMap<String, State>>,
 }
 
 enum Event {
@@ -107,6 +109,8 @@
     /// Orders that are sent again until they are confirmed: the version, and when and where next.
     orders: BTreeMap<u32, (u64, usize)>,
     confirmed: BTreeSet<u32>,
+    /// Who said that it is in contact, to whom, and which servers it had told as ready by then.
+    pub turned: Vec<(usize, usize, Vec<String>)>,
     sequence: u64,
     /// Whether bytes are counted: what markers told gatekeepers and gatekeepers markers, and markers each other.
     pub weighs: bool,
@@ -184,6 +188,7 @@
             pinged: 0,
             owed: 0.0,
             told: BTreeMap::new(),
+            listed: BTreeMap::new(),
         };
         World {
             now: 0,
@@ -202,6 +207,7 @@
             last: BTreeMap::new(),
             orders: BTreeMap::new(),
             confirmed: BTreeSet::new(),
+            turned: Vec::new(),
             sequence: 0,
             weighs: true,
             bytes: (0, 0),
@@ -310,6 +316,11 @@
             (None, ["cut", "gates"]) => (boards..all).for_each(|g| self.cuts.extend([(n, g), (g, n)])),
             (None, ["cut", "servers"]) => self.cuts.extend([(n, SERVERS), (SERVERS, n)]),
             (None, ["cut", "operators"]) => self.cuts.extend([(n, OPERATORS), (OPERATORS, n)]),
+            (None, ["join", m]) => {
+                let m = self.number(m);
+                self.join(|from, to| from == n && to == m || from == m && to == n);
+                self.mend();
+            }
             (None, ["back"]) => {
                 // Its own lines stand: nothing is told anew over them.
                 for m in (0..boards).filter(|m| *m != n) {
@@ -474,8 +485,21 @@
                 let column = &mut self.columns[g];
                 let Some(session) = column.sessions.get_mut(&ip).filter(|s| s.0 == id) else { return };
                 session.1 = now;
-                if let Down::News(_, News::Contact(contact)) = &word {
-                    column.told.insert(ip, *contact);
+                match &word {
+                    Down::News(1, _) => drop(column.listed.remove(&ip)),
+                    Down::News(_, News::Contact(contact)) => {
+                        column.told.insert(ip, *contact);
+                        if *contact {
+                            let ready = column.listed.get(&ip).into_iter().flatten();
+                            let ready = ready.filter(|(_, state)| **state == State::Ready);
+                            self.turned.push((m, g, ready.map(|(id, _)| id.clone()).collect()));
+                        }
+                    }
+                    _ => {}
+                }
+                if let Down::News(_, News::Servers(servers)) = &word {
+                    let listed = column.listed.entry(ip).or_default();
+                    listed.extend(servers.iter().map(|server| (server.id.clone(), server.state)));
                 }
                 let Some(gate) = column.gate.as_mut() else { return };
                 let say = gate.on_down(now, ip, word);
@@ -786,6 +810,10 @@
                 let told = self.columns[self.number(to)].told.get(&ip);
                 assert_eq!(told, Some(&(*yes == "yes")), "{name} to {to} at {now}");
             }
+            ["version", name, version] => {
+                let version: u32 = version.parse().unwrap();
+                assert_eq!(self.status(name)["version"], format!("{version:08x}"), "{name} at {now}");
+            }
             ["sessions", n, all] => {
                 for column in &self.columns {
                     let near = column.told.values().filter(|contact| **contact).count();
--- a/crates/crossbar/tests/contact.rs
+++ b/crates/crossbar/tests/contact.rs
@@ -250,6 +250,24 @@
     );
 }
 
+/// A marker that hears most of the core again, but not the primary, has the newest configuration of the others before it says
+/// that it is in contact.
+#[gtest]
+fn one_that_is_back_with_all_but_the_primary_is_current_before_it_says_so() {
+    play(
+        "ms    | m1 | m2 | m3      | g1 | g2 | g3 | outside
+         0     | up | up | up      | up | up | up |
+         1000  |    |    |         |    |    |    | put 1 m1
+         3000  |    |    | cut     |    |    |    | home g3 m3
+         4000  |    |    |         |    |    |    | order 2
+         6000  |    |    |         |    |    |    | confirmed 2
+         9000  |    |    | join m2 |    |    |    | contact m3 no
+         11000 |    |    |         |    |    |    | contact m3 yes
+         11000 |    |    |         |    |    |    | home g3 m3
+         11000 |    |    |         |    |    |    | version m3 2",
+    );
+}
+
 /// Where there are more markers than sessions, a gatekeeper looks for others beside those that are out of contact, and
 /// has three again when these are back.
 #[gtest]
@@ -609,6 +627,15 @@
     /// What must hold at any time.
     fn judge(&mut self) {
         let (now, boards) = (self.world.now, self.boards());
+        // Whoever says that it is in contact has said before who leaves. Who has ended may be forgotten by one that was started again:
+        // what is on disk names those that are there.
+        let there = |id: &String| self.servers.iter().any(|s| s.id == *id);
+        for (m, g, ready) in std::mem::take(&mut self.world.turned) {
+            let mut stale = self.drains.iter().filter(|(id, at)| now > at + 1_000 && ready.contains(id));
+            // Words that waited on a cut tell of before it.
+            let stale = stale.find(|(id, _)| there(id) && now > self.touch[g] + 3_000);
+            assert!(stale.is_none(), "m{} is in contact for g{} at {now} without {stale:?}", m + 1, g + 1);
+        }
         let joined: Vec<bool> = (0..boards).map(|m| self.is_joined(m)).collect();
         for (m, _) in joined.iter().enumerate().filter(|(_, joined)| **joined) {
             self.joined[m] = now;
