Send a gatekeeper one configuration at a time, and bound what waits for all peers

Found besides, by reading: beyond 2,000 sessions a gatekeeper was told nothing over a line that stood and whose pings were answered. Ruled out: the differences alone, which came with the parts: a gatekeeper whose base is not kept is told the whole, and a link can be slower still. A smaller bound for each line: whole configurations of large sites would not pass. Change: in a session one configuration is under way until the news that carry it are acknowledged, and then the newest alone; what waits on all lines of a marker is bounded by a quarter of its memory, beyond which the line that holds most is given up, at once, also amid a write; a gatekeeper for which there is no room is sent away (Output::End).

--- a/crates/crossbar/tests/common/mod.rs
+++ b/crates/crossbar/tests/common/mod.rs
@@ -444,7 +444,7 @@
                         self.boards[n].servers = servers;
                     }
                 }
-                Output::Sure(_) => {}
+                Output::End(_) | Output::Sure(_) => {}
             }
         }
     }
--- a/crates/marker/src/parts.rs
+++ b/crates/marker/src/parts.rs
@@ -77,6 +77,8 @@
     Send(Ipv4Addr, Between),
     /// Say this to a gatekeeper.
     Tell(SessionId, Down),
+    /// End the session of a gatekeeper, for which there is no room.
+    End(SessionId),
     /// Put this on disk, and say the ticket when it is there.
     Write(u64, Keeping),
     /// Answer a call.
--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -81,6 +81,8 @@
     next: Cell<u64>,
     connections: Cell<usize>,
     leaving: Cell<bool>,
+    /// Bytes that may wait in all for peers that do not read; with more the one that holds most is given up.
+    unsent_max: usize,
     said: Said,
 }
 
@@ -120,6 +122,18 @@
         self.next.get()
     }
 
+    /// Gives up the line that holds most where too much waits in all.
+    fn bound_unsent(&self) {
+        let (sessions, lines) = (self.sessions.borrow(), self.lines.borrow());
+        let all = || sessions.values().chain(lines.values());
+        if all().map(Sender::unsent).sum::<usize>() > self.unsent_max {
+            if let Some(most) = all().max_by_key(|line| line.unsent()) {
+                log::warn!("{} bytes wait for a peer that does not read: its line is ended", most.unsent());
+                most.give_up();
+            }
+        }
+    }
+
     /// Has the state machine take something in, and does what it returns.
     fn step(self: &Rc<Self>, take: impl FnOnce(&mut Marker, Millis, &mut Vec<Output>)) {
         let mut out = Vec::new();
@@ -141,6 +155,11 @@
                     // The writer ends with the process only.
                     let _ = self.writes.send(Job::Keep(ticket, keeping));
                 }
+                Output::End(id) => {
+                    if let Some(session) = self.sessions.borrow().get(&id) {
+                        session.close();
+                    }
+                }
                 Output::Servers(servers) => {
                     let _ = self.writes.send(Job::Servers(servers));
                 }
@@ -340,6 +359,7 @@
         next: Cell::new(0),
         connections: Cell::new(0),
         leaving: Cell::new(false),
+        unsent_max: settings.memory_mb as usize * (1 << 20) / 4,
         said: Said::default(),
     });
     let taken = exchange.clone();
@@ -363,6 +383,7 @@
         loop {
             ticks.tick().await;
             taken.step(|marker, now, out| marker.on_tick(now, out));
+            taken.bound_unsent();
         }
     });
     let (mut term, mut hup) = (
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -39,6 +39,11 @@
     told: Option<Revision>,
     /// Whether this marker is its home.
     home: bool,
+    /// The news that carried it: until they are taken in no other configuration is sent, and then the newest alone. A link
+    /// that is slower than the changes would have ever more waiting.
+    carrier: u64,
+    /// Whether one waits for that.
+    waits: bool,
     /// When it is told the newest, unless it says before that it has it.
     due: Option<Millis>,
     heard: Millis,
@@ -92,10 +97,22 @@
     ) {
         if self.sessions.len() >= SESSIONS_MAX {
             log::error!("more than {SESSIONS_MAX} sessions: {name} is not taken in");
-            return;
+            // It would take a line that stands for a session, and be told nothing over it.
+            return out.push(Output::End(id));
         }
-        let session =
-            Session { life, name, sent: 0, got: 0, has, told: None, home: false, due: None, heard: now };
+        let session = Session {
+            life,
+            name,
+            sent: 0,
+            got: 0,
+            has,
+            told: None,
+            carrier: 0,
+            waits: false,
+            home: false,
+            due: None,
+            heard: now,
+        };
         self.sessions.insert(id, session);
         if let Some(document) = sure {
             self.pushes.newest(document);
@@ -169,6 +186,10 @@
     fn push(&mut self, id: SessionId, out: &mut Vec<Output>) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.due = None;
+        session.waits = session.carrier > session.got;
+        if session.waits {
+            return;
+        }
         let Some(newest) = self.pushes.revision().filter(|newest| session.is_behind(newest.version)) else {
             return;
         };
@@ -177,9 +198,16 @@
         if base == Some(newest) {
             return;
         }
-        session.told = Some(newest);
         if let Some(news) = self.pushes.news(base) {
-            self.tell(id, news, out);
+            self.carry(id, newest, news, out);
+        }
+    }
+
+    /// Tells one a configuration.
+    fn carry(&mut self, id: SessionId, newest: Revision, news: News, out: &mut Vec<Output>) {
+        self.tell(id, news, out);
+        if let Some(session) = self.sessions.get_mut(&id) {
+            (session.told, session.carrier) = (Some(newest), session.sent);
         }
     }
 
@@ -200,7 +228,7 @@
     }
 
     /// A gatekeeper has taken in all news up to this number.
-    pub fn on_got(&mut self, id: SessionId, number: u64) {
+    pub fn on_got(&mut self, id: SessionId, number: u64, out: &mut Vec<Output>) {
         if let Some(session) = self.sessions.get_mut(&id) {
             session.got = session.got.max(number.min(session.sent));
             let got = session.got;
@@ -209,6 +237,10 @@
                     wait.sessions.remove(&id);
                 }
             }
+            let waits = session.waits;
+            if waits {
+                self.push(id, out);
+            }
         }
     }
 
@@ -227,9 +259,8 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         (session.has, session.told, session.due) = (has, None, None);
         let newest = self.pushes.revision().filter(|newest| session.is_behind(newest.version));
-        if let (Some(_), Some(news)) = (newest, self.pushes.news(None)) {
-            session.told = newest;
-            self.tell(id, news, out);
+        if let (Some(newest), Some(news)) = (newest, self.pushes.news(None)) {
+            self.carry(id, newest, news, out);
         }
     }
 
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -438,7 +438,7 @@
                 self.sessions.on_home(session, home);
                 self.sessions_at = 0;
             }
-            Up::Got(number) => self.sessions.on_got(session, number),
+            Up::Got(number) => self.sessions.on_got(session, number, out),
             Up::Has(revision) => self.sessions.on_has(session, revision),
             Up::Lacks(revision) => self.sessions.on_lacks(session, revision, out),
             Up::Adds(number, adds) => self.tally.on_adds(session, number, &adds),
--- a/crates/trunk/src/line.rs
+++ b/crates/trunk/src/line.rs
@@ -19,6 +19,8 @@
 const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
 /// Bytes that may wait for a peer that does not read; with more the connection is closed.
 const WAITING_MAX: usize = 32 << 20;
+/// Bytes written at once: between two of them a connection can be given up.
+const WRITTEN: usize = 64 << 10;
 /// Bytes read at once.
 const PIECE: usize = 4 << 10;
 
@@ -62,6 +64,10 @@
     bytes: RefCell<Vec<u8>>,
     more: Notify,
     closed: Cell<bool>,
+    /// Ended without waiting for what is not sent.
+    dropped: Notify,
+    /// Bytes that were given to be sent and are not.
+    unsent: Cell<usize>,
     carried: Cell<(u64, u64)>,
 }
 
@@ -79,10 +85,11 @@
         let frame = frames::write(word);
         let size = frame.len();
         waiting.extend(frame);
-        if waiting.len() > WAITING_MAX {
-            self.0.closed.set(true);
-        }
         drop(waiting);
+        self.0.unsent.set(self.0.unsent.get() + size);
+        if self.0.unsent.get() > WAITING_MAX {
+            self.give_up();
+        }
         self.0.more.notify_one();
         size
     }
@@ -92,6 +99,17 @@
         self.0.carried.get()
     }
 
+    /// Bytes that were given to be sent and are not.
+    pub fn unsent(&self) -> usize {
+        self.0.unsent.get()
+    }
+
+    /// Ends the connection, and loses what is not sent: its peer does not read.
+    pub fn give_up(&self) {
+        self.0.dropped.notify_one();
+        self.close();
+    }
+
     /// Ends the connection.
     pub fn close(&self) {
         self.0.closed.set(true);
@@ -122,7 +140,7 @@
     let (read, write) = stream.into_split();
     let ended = tokio::select! {
         ended = come(read, silence, &sender, take) => ended,
-        ended = go(write, &sender) => ended,
+        Err(ended) = go(write, &sender) => ended,
     };
     sender.close();
     ended
@@ -157,19 +175,24 @@
     }
 }
 
-async fn go(mut to: OwnedWriteHalf, sender: &Sender) -> Ended {
+/// Gives nothing but why it ended.
+async fn go(mut to: OwnedWriteHalf, sender: &Sender) -> Result<std::convert::Infallible, Ended> {
     loop {
         let bytes = sender.0.bytes.take();
         if sender.0.closed.get() && bytes.is_empty() {
-            return Ended::Stuck;
+            return StuckSnafu.fail();
         }
         if bytes.is_empty() {
             sender.0.more.notified().await;
-        } else if let Err(source) = to.write_all(&bytes).await {
-            return Ended::Broken { source };
-        } else {
+        }
+        for piece in bytes.chunks(WRITTEN) {
+            tokio::select! {
+                written = to.write_all(piece) => written.context(BrokenSnafu)?,
+                () = sender.0.dropped.notified() => return StuckSnafu.fail(),
+            }
             let (out, into) = sender.0.carried.get();
-            sender.0.carried.set((out + bytes.len() as u64, into));
+            sender.0.carried.set((out + piece.len() as u64, into));
+            sender.0.unsent.set(sender.0.unsent.get().saturating_sub(piece.len()));
         }
     }
 }
