Take back the handing on of the newest configuration: Hear does it already

With the code broken the new timeline passed: a marker that hears no primary is told what is safe by anybody who hears it. The code goes, the timeline stays.

--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -354,13 +354,9 @@
             }
             Between::Left(name) => drop(self.members.remove(&name)),
             Between::Adds(adds) => self.tally.count(&adds),
-            Between::CatchUp(number, has) => {
+            Between::CatchUp(number) => {
                 out.push(Output::Send(from.ip, Between::Servers(0, self.registry.whole())));
                 let sure = self.core.sure().map(|d| d.version);
-                // What is safe may be handed on by anybody: the primary may not reach it.
-                if let Some(newer) = self.core.sure().filter(|_| sure > has) {
-                    out.push(Output::Send(from.ip, Between::Sure(Document::clone(newer))));
-                }
                 out.push(Output::Send(from.ip, Between::CaughtUp(number, sure)));
             }
             Between::CaughtUp(number, sure) => {
@@ -600,7 +596,7 @@
         if now >= asking.at + AGAIN || asking.at == 0 {
             asking.at = now;
             for ip in live.into_iter().filter(|ip| !asking.answers.contains_key(ip)) {
-                out.push(Output::Send(ip, Between::CatchUp(asking.number, sure)));
+                out.push(Output::Send(ip, Between::CatchUp(asking.number)));
             }
         }
         let answered = self.core.most_of_core(|ip| asking.answers.contains_key(&ip));
--- a/crates/trunk/src/words.rs
+++ b/crates/trunk/src/words.rs
@@ -295,9 +295,8 @@
     Servers(u64, Vec<Instance>),
     /// All gatekeepers with a session at the sender know it.
     Told(u64),
-    /// Asks for all that the sender may have missed while it was out of contact, under a number of that absence; with the
-    /// newest safe version that it knows.
-    CatchUp(u64, Option<u32>),
+    /// Asks for all that the sender may have missed while it was out of contact, under a number of that absence.
+    CatchUp(u64),
     /// All of it was said before this; with the number of the asking, and the newest safe version here.
     CaughtUp(u64, Option<u32>),
     /// Servers that have beaten here, with their sequence numbers.
