Hear markers outside the core often enough that their gatekeepers are not missed

Change: each 300 ms. No test of its own: the two figures stand in core.rs and state.rs, and the comment names the other.

--- a/crates/marker/src/core.rs
+++ b/crates/marker/src/core.rs
@@ -19,8 +19,9 @@
 
 /// How often a marker says that it is there.
 const HEAR: Millis = 150;
-/// The same to and from markers outside the core: bytes between zones.
-const HEAR_OUTSIDE: Millis = 450;
+/// The same to and from markers outside the core: bytes between zones. Gatekeepers whose home such a one is are missed after
+/// 400 ms without a word (`state`): it must be well below.
+const HEAR_OUTSIDE: Millis = 2 * HEAR;
 /// Without a word for so long a marker counts as not heard.
 const HEARD: Millis = 700;
 /// Without a primary for between the first and the second, whoever holds everything begins a round; drawn.
