Let files of the core import one way again

Cause: the split of core.rs made core and core::hearing import each other; tests/house.rs was red from then on (my own, run by package only). Ruled out: easing the test. Change: what the parts share (Heard, Asked, Call) stands in core.rs, which imports none of them.

--- a/crates/marker/src/core.rs
+++ b/crates/marker/src/core.rs
@@ -10,12 +10,10 @@
 use crate::agreement::{Act, Agreement, Then};
 use crate::duties::Duties;
 use crate::parts::{Keeping, Millis, Output};
-use hearing::Heard;
-use orders::Call;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Between, Document, Duty, Epoch, Ledger, Node, Number, Standing};
+use trunk::words::{Between, Digest, Document, Duty, Epoch, Ledger, Node, Number, Standing};
 
 /// How often a marker says that it is there.
 const HEAR: Millis = 150;
@@ -59,6 +57,65 @@
 /// Markers outside the core are forgotten when silent for so long.
 const FORGET: Millis = 60_000;
 
+struct Heard {
+    node: Node,
+    /// When it was; never, where only others name it.
+    at: Option<Millis>,
+    led: bool,
+    /// Whether it said last that it hears this marker.
+    hears_me: bool,
+    sure: Option<u32>,
+    sure_sent: Millis,
+    standing: Standing,
+}
+
+impl Heard {
+    /// One that others name, and that has said nothing yet.
+    fn named(node: Node) -> Heard {
+        Heard {
+            node,
+            at: None,
+            led: false,
+            hears_me: false,
+            sure: None,
+            sure_sent: 0,
+            standing: Standing::default(),
+        }
+    }
+
+    fn lately(&self, now: Millis) -> bool {
+        self.at.is_some_and(|at| now < at + HEARD)
+    }
+}
+
+enum Asked {
+    /// With the number of its check, where the ledger says what it is answered.
+    Replace {
+        document: Arc<Document>,
+        digest: Digest,
+        nonce: Option<u64>,
+    },
+    Read {
+        nonce: u64,
+    },
+}
+
+struct Call {
+    id: u64,
+    asked: Asked,
+    until: Millis,
+}
+
+impl Call {
+    /// The number of the check that it waits for.
+    fn nonce(&self) -> Option<u64> {
+        match self.asked {
+            Asked::Read { nonce } => Some(nonce),
+            Asked::Replace { nonce, .. } => nonce,
+        }
+    }
+}
+
 /// What is done once a write is on disk.
 enum After {
     Agreed(Then),
--- a/crates/marker/src/core/hearing.rs
+++ b/crates/marker/src/core/hearing.rs
@@ -1,43 +1,12 @@
 //! Whom a marker hears, and who is said to be primary: what all trying goes by, and nothing else.
 
-use super::{Core, BROKE, HEAR, HEARD, HEAR_OUTSIDE, KNOWN_MAX};
+use super::{Core, Heard, BROKE, HEAR, HEARD, HEAR_OUTSIDE, KNOWN_MAX};
 use crate::agreement::most;
 use crate::parts::{Millis, Output};
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use trunk::words::{Between, Document, Node, Number, Standing};
 
-pub(super) struct Heard {
-    pub(super) node: Node,
-    /// When it was; never, where only others name it.
-    pub(super) at: Option<Millis>,
-    pub(super) led: bool,
-    /// Whether it said last that it hears this marker.
-    pub(super) hears_me: bool,
-    pub(super) sure: Option<u32>,
-    pub(super) sure_sent: Millis,
-    pub(super) standing: Standing,
-}
-
-impl Heard {
-    /// One that others name, and that has said nothing yet.
-    fn named(node: Node) -> Heard {
-        Heard {
-            node,
-            at: None,
-            led: false,
-            hears_me: false,
-            sure: None,
-            sure_sent: 0,
-            standing: Standing::default(),
-        }
-    }
-
-    pub(super) fn lately(&self, now: Millis) -> bool {
-        self.at.is_some_and(|at| now < at + HEARD)
-    }
-}
-
 impl Core {
     /// All other markers that are known.
     pub fn known(&self) -> BTreeSet<Ipv4Addr> {
--- a/crates/marker/src/core/orders.rs
+++ b/crates/marker/src/core/orders.rs
@@ -4,7 +4,7 @@
 //! is free is held first. Where the number stands for something already, also one that was confirmed long ago, the
 //! primary makes certain, as for a read, that it still is primary before it confirms or refuses.
 
-use super::{Core, CALL, CALLS_MAX, HEARD};
+use super::{Asked, Call, Core, CALL, CALLS_MAX, HEARD};
 use crate::agreement::{Act, Orders};
 use crate::parts::{Millis, Output, Reply};
 use plugboard::kinds::Kind;
@@ -13,34 +13,6 @@
 use trunk::ledger::Known;
 use trunk::words::{Between, Digest, Document};
 
-pub(super) enum Asked {
-    /// With the number of its check, where the ledger says what it is answered.
-    Replace {
-        document: Arc<Document>,
-        digest: Digest,
-        nonce: Option<u64>,
-    },
-    Read {
-        nonce: u64,
-    },
-}
-
-pub(super) struct Call {
-    pub(super) id: u64,
-    pub(super) asked: Asked,
-    pub(super) until: Millis,
-}
-
-impl Call {
-    /// The number of the check that it waits for.
-    pub(super) fn nonce(&self) -> Option<u64> {
-        match self.asked {
-            Asked::Read { nonce } => Some(nonce),
-            Asked::Replace { nonce, .. } => nonce,
-        }
-    }
-}
-
 impl Core {
     pub(super) fn on_safe(&mut self, document: Arc<Document>, out: &mut Vec<Output>) {
         if self.agreement.leads().is_some() {
--- a/crates/marker/src/core/rounds.rs
+++ b/crates/marker/src/core/rounds.rs
@@ -1,7 +1,6 @@
 //! When a round is begun, who belongs to the core and holds what in the epoch to be, and how a marker leaves.
 
-use super::hearing::Heard;
-use super::{Core, ALONE, DISK, FINISH, HEAR, LEFT, LOST, SLOW, SLOW_FOR, STANDS_IN, SUSPECT};
+use super::{Core, Heard, ALONE, DISK, FINISH, HEAR, LEFT, LOST, SLOW, SLOW_FOR, STANDS_IN, SUSPECT};
 use crate::agreement::{most, Agreement};
 use crate::parts::{Millis, Output};
 use std::collections::BTreeSet;
