Let drawn schedules share one table of what they do to a marker

Cause: the same seven faults stood in core.rs and orders.rs of marker's tests. Ruled out: merging the schedules themselves: one draws losses over long calm spans, the other amid orders. Change: FAULTS in tests/common/world.rs; the draws, the assertions and the code tested are as they were.

--- a/crates/marker/tests/common/world.rs
+++ b/crates/marker/tests/common/world.rs
@@ -17,6 +17,17 @@
 use std::net::Ipv4Addr;
 use trunk::words::{Between, Document, Node, Number};
 
+/// What drawn schedules do to a marker, and what ends it.
+pub const FAULTS: [(&str, &str); 7] = [
+    ("kill", "up"),
+    ("power", "up"),
+    ("wipe", "up"),
+    ("freeze", "thaw"),
+    ("cut", "join"),
+    ("deaf", "join"),
+    ("slow", "quick"),
+];
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Life {
     Down,
--- a/crates/marker/tests/core.rs
+++ b/crates/marker/tests/core.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::world::{ip, play, play_with, Call, Clear, World};
+use common::world::{ip, play, play_with, Call, Clear, World, FAULTS};
 use googletest::prelude::*;
 use marker::core::{begin, Core};
 use marker::parts::Output;
@@ -558,16 +558,7 @@
         }
         let since = world.acked;
         world.call(Call::Get { since }, rng.usize(0..places));
-        let faults = [
-            ("kill", "up"),
-            ("power", "up"),
-            ("wipe", "up"),
-            ("freeze", "thaw"),
-            ("cut", "join"),
-            ("deaf", "join"),
-            ("slow", "quick"),
-        ];
-        let drawn: Vec<_> = hit.into_iter().map(|n| (n, faults[rng.usize(0..faults.len())])).collect();
+        let drawn: Vec<_> = hit.into_iter().map(|n| (n, FAULTS[rng.usize(0..FAULTS.len())])).collect();
         drawn.iter().for_each(|(n, (begin, _))| world.act(*n, begin));
         now += rng.u64(20..3_000);
         world.run(now);
--- a/crates/marker/tests/orders.rs
+++ b/crates/marker/tests/orders.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::world::{Asked, Call, Clear, Seen, World};
+use common::world::{Asked, Call, Clear, Seen, World, FAULTS};
 use googletest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -117,16 +117,7 @@
         let mut hit: Vec<usize> = (0..places).collect();
         rng.shuffle(&mut hit);
         hit.truncate(rng.usize(1..=losses));
-        let faults = [
-            ("kill", "up"),
-            ("power", "up"),
-            ("wipe", "up"),
-            ("freeze", "thaw"),
-            ("cut", "join"),
-            ("deaf", "join"),
-            ("slow", "quick"),
-        ];
-        let hit: Vec<_> = hit.into_iter().map(|n| (n, faults[rng.usize(0..faults.len())])).collect();
+        let hit: Vec<_> = hit.into_iter().map(|n| (n, FAULTS[rng.usize(0..FAULTS.len())])).collect();
         hit.iter().for_each(|(n, (begin, _))| world.act(*n, begin));
         send(&mut world, &mut rng, places);
         let until = world.now + rng.u64(20..2_500);
