Split the gatekeeper's client side into modules with the field's names

Change: clients -> connections, ahead -> pipeline, journey -> request_state, dials -> pool; forwarding, handling, messages, listeners, sessions, drain and shutdown stand in files of their own. The end of the process is one function that the tests call too. Listeners are stopped by a notification and take what waits in their queue. Requests broken off at servers are counted by cause and written in one line when the process ends. Signals are waited for before anything is listened at.

--- a/crates/crossbar/src/budget.rs
+++ b/crates/crossbar/src/budget.rs
@@ -58,7 +58,12 @@
         purse.tokens = (purse.tokens + ratio).min(most);
     }
 
-    /// Whether it may be sent once more.
+    /// Whether a request may be sent once more: [`Budget::spend`] would succeed.
+    pub fn has(&mut self, now: Millis, service: &str) -> bool {
+        self.purse(now, service).tokens >= 1.0
+    }
+
+    /// Takes what sending a request once more costs; whether there was enough.
     pub fn spend(&mut self, now: Millis, service: &str) -> bool {
         let purse = self.purse(now, service);
         let enough = purse.tokens >= 1.0;
--- /dev/null
+++ b/crates/crossbar/src/client_stream.rs
@@ -0,0 +1,63 @@
+//! The socket of one client, as the HTTP library sees it.
+
+use crate::connections::ClientConnection;
+use crate::pipeline::StartEarly;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A client's socket. It reports incoming bytes to its [`ClientConnection`], and lingers when it is closed.
+pub struct ClientStream {
+    stream: TcpStream,
+    connection: Rc<ClientConnection>,
+    start_early: StartEarly,
+}
+
+impl ClientStream {
+    /// Wraps the socket of a connection.
+    pub fn new(stream: TcpStream, connection: Rc<ClientConnection>, start_early: StartEarly) -> ClientStream {
+        ClientStream { stream, connection, start_early }
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let this = &mut *self;
+        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
+        let received = &buf.filled()[before..];
+        if !received.is_empty() {
+            this.connection.on_bytes(received, &this.start_early);
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        bufs: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/crossbar/src/gate.rs
+++ b/crates/crossbar/src/gate.rs
@@ -2,7 +2,8 @@
 
 use crate::budget::Budget;
 use crate::control::{Change, Control};
-use crate::dials::names;
+use crate::drain::Drain;
+use crate::pool::names;
 use crate::room::Room;
 use crate::servers::Servers;
 use crate::tenants::Tenants;
@@ -77,8 +78,8 @@
     pub control: Control,
     /// Whether a marker has told all that it knows.
     pub whole: bool,
-    /// Whether the process is about to end.
-    pub leaving: bool,
+    /// How the process ends, once it has been told to.
+    pub drain: Option<Drain>,
     rng: fastrand::Rng,
 }
 
@@ -95,14 +96,14 @@
             budget: Budget::new(bounds.retry_ratio, bounds.retry_slack, window),
             control,
             whole: false,
-            leaving: false,
+            drain: None,
             rng: fastrand::Rng::with_seed(seed ^ 1),
         }
     }
 
     /// Whether clients may come: it has a configuration and the servers, and stays.
     pub fn is_ready(&self) -> bool {
-        self.whole && self.configuration.is_some() && !self.leaving
+        self.whole && self.configuration.is_some() && self.drain.is_none()
     }
 
     /// What tells the configuration in force from all others.
@@ -199,13 +200,19 @@
         let told = headers.get(names::DEADLINE).and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
         let time = told.map_or(route.timeout, Duration::from_millis).min(route.timeout);
         let service = self.draw(&configuration, route).ok_or(Refusal::from(Kind::NoRoom))?;
+        let mut deadline = now + (time.as_millis() as Millis).saturating_sub(MARGIN);
+        if let Some(drain) = &self.drain {
+            let aim = route.target.as_millis() as Millis;
+            let usual = self.servers.typical(&service, aim).map_or(aim, |usual| usual as Millis);
+            deadline = drain.deadline(now, deadline, usual).unwrap_or(deadline);
+        }
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
         let place = configuration.hosts[&host].iter().position(|r| r.prefix == route.prefix).unwrap_or(0);
         let pass = Pass {
             service,
             tenant: tenant.map(|t| t.name.clone()),
             priority: tenant.and_then(|t| t.priority).unwrap_or(route.priority),
-            deadline: now + (time.as_millis() as Millis).saturating_sub(MARGIN),
+            deadline,
             host,
             place,
             configuration: configuration.clone(),
--- a/crates/crossbar/src/lib.rs
+++ b/crates/crossbar/src/lib.rs
@@ -1,20 +1,30 @@
 //! The data plane of the system.
 //!
 //! A gatekeeper takes requests from clients and sends each to a server, by the configuration and the servers that
-//! markers push to it. [`gate`] joins what it holds and decides with; [`journey`] is one request's way; [`run`] joins
-//! them to sockets and signals.
+//! markers push to it. [`gate`] joins what it holds and decides with. A client's connection is accepted in [`listeners`]
+//! and kept in [`connections`]; a request of it goes through [`handler`] and [`forward`], whose decisions are in
+//! [`request_state`], to a connection of the [`pool`]. [`run`] joins all to sockets and signals; [`shutdown`] ends it.
 
-pub mod ahead;
+pub mod break_offs;
 pub mod budget;
-pub mod clients;
+pub mod client_stream;
+pub mod connections;
 pub mod control;
-pub mod dials;
+pub mod drain;
+pub mod forward;
 pub mod front;
 pub mod gate;
-pub mod journey;
+pub mod handler;
+pub mod listeners;
+pub mod messages;
+pub mod pipeline;
+pub mod pool;
+pub mod request_state;
 pub mod room;
 pub mod run;
 pub mod servers;
+pub mod sessions;
+pub mod shutdown;
 pub mod tenants;
 
 use std::process::ExitCode;
--- a/crates/crossbar/src/ahead.rs
+++ b/crates/crossbar/src/pipeline.rs
@@ -1,31 +1,103 @@
-//! Requests that a client sends before the first is answered: seen early, so that they need not wait for each other.
+//! Pipelined requests: those that a client sends before the first is answered.
 //!
-//! The HTTP library takes requests one at a time and remains the one that frames them. This only looks at the bytes as
+//! The HTTP library takes requests one at a time and remains the one that frames them. This only scans the bytes as
 //! they pass: as long as no request of a connection had a body, each head that is whole and has none either is one
-//! whose work may begin. When the library comes to it, the work is under way or done. A connection on which anything
-//! else was seen is not looked at any more.
+//! whose work may start. When the library comes to it, the work is under way or done. A connection on which anything
+//! else was seen is not scanned any more.
 
+use crate::messages::ResponseBody;
 use hyper::http::request::Parts;
-use hyper::{Method, Request};
+use hyper::{Method, Request, Response};
+use std::collections::VecDeque;
+use tokio::task::JoinHandle;
 
 /// Headers that a head may have to be looked at.
 const HEADERS_MAX: usize = 64;
 /// Bytes of a head that is waited for.
 const HEAD_MAX: usize = 16 << 10;
 
-/// Looks at the bytes of one connection.
+/// Starts the work on a pipelined request, or gives `None` where it has to wait for its turn.
+pub type StartEarly = Box<dyn Fn(&Parts) -> Option<JoinHandle<Response<ResponseBody>>>>;
+
+/// The work on a pipelined request that was started before its turn. Aborted when dropped.
+pub struct EarlyWork {
+    place: u64,
+    parts: Parts,
+    work: JoinHandle<Response<ResponseBody>>,
+}
+
+impl EarlyWork {
+    /// The work on the request at this place of its connection, counted from 0.
+    pub fn new(place: u64, parts: Parts, work: JoinHandle<Response<ResponseBody>>) -> EarlyWork {
+        EarlyWork { place, parts, work }
+    }
+
+    /// Waits for the answer; `None` if the work failed. Dropping the future aborts the work.
+    pub async fn answer(mut self) -> Option<Response<ResponseBody>> {
+        (&mut self.work).await.ok()
+    }
+}
+
+impl Drop for EarlyWork {
+    fn drop(&mut self) {
+        self.work.abort();
+    }
+}
+
+/// The pipelined requests of one connection.
 #[derive(Default)]
-pub struct Ahead {
-    bytes: Vec<u8>,
-    seen: u64,
-    over: bool,
+pub struct Pipeline {
+    scanner: HeadScanner,
+    early: VecDeque<EarlyWork>,
 }
 
-impl Ahead {
-    /// Takes in what has been read. Gives the heads that are whole, each with its number on the connection.
+impl Pipeline {
+    /// Takes in what has been read. Gives the heads that are whole, each with its place on the connection.
     pub fn feed(&mut self, bytes: &[u8]) -> Vec<(u64, Parts)> {
+        self.scanner.feed(bytes)
+    }
+
+    /// How many whole heads have been read, as far as the connection is scanned.
+    pub fn heads_read(&self) -> u64 {
+        self.scanner.read
+    }
+
+    /// How many requests are at work before their turn.
+    pub fn early_count(&self) -> usize {
+        self.early.len()
+    }
+
+    /// Adds work that was started early. Places rise.
+    pub fn add_early(&mut self, work: EarlyWork) {
+        self.early.push_back(work);
+    }
+
+    /// The early work on the request at this place, if it is the same request.
+    pub fn take(&mut self, place: u64, parts: &Parts) -> Option<EarlyWork> {
+        while self.early.front().is_some_and(|early| early.place < place) {
+            self.early.pop_front();
+        }
+        let is_its = |early: &EarlyWork| early.place == place && is_same(&early.parts, parts);
+        if self.early.front().is_some_and(is_its) {
+            self.early.pop_front()
+        } else {
+            None
+        }
+    }
+}
+
+/// Scans the bytes of one connection for heads of requests without a body.
+#[derive(Default)]
+struct HeadScanner {
+    bytes: Vec<u8>,
+    read: u64,
+    stopped: bool,
+}
+
+impl HeadScanner {
+    fn feed(&mut self, bytes: &[u8]) -> Vec<(u64, Parts)> {
         let mut found = Vec::new();
-        if self.over {
+        if self.stopped {
             return found;
         }
         self.bytes.extend_from_slice(bytes);
@@ -33,12 +105,12 @@
             match head(&self.bytes) {
                 Head::Whole(size, parts) => {
                     self.bytes.drain(..size);
-                    found.push((self.seen, *parts));
-                    self.seen += 1;
+                    found.push((self.read, *parts));
+                    self.read += 1;
                 }
                 Head::Part if self.bytes.len() <= HEAD_MAX => break,
                 Head::Part | Head::Other => {
-                    (self.over, self.bytes) = (true, Vec::new());
+                    (self.stopped, self.bytes) = (true, Vec::new());
                     break;
                 }
             }
@@ -80,7 +152,7 @@
 }
 
 /// Whether two heads are of the same request.
-pub fn is_same(one: &Parts, other: &Parts) -> bool {
+fn is_same(one: &Parts, other: &Parts) -> bool {
     one.method == other.method && one.uri == other.uri && one.headers == other.headers
 }
 
@@ -90,8 +162,8 @@
     use googletest::prelude::*;
 
     fn paths(pieces: &[&[u8]]) -> Vec<(u64, String)> {
-        let mut ahead = Ahead::default();
-        let found = pieces.iter().flat_map(|piece| ahead.feed(piece));
+        let mut scanner = HeadScanner::default();
+        let found = pieces.iter().flat_map(|piece| scanner.feed(piece));
         found.map(|(n, parts)| (n, parts.uri.path().to_owned())).collect()
     }
 
--- a/crates/crossbar/src/dials.rs
+++ b/crates/crossbar/src/pool.rs
@@ -3,7 +3,7 @@
 //! What comes on a connection is taken for the answer to a request only if it can be no other's. Whatever else
 //! comes, and whatever ends early, leaves the request as one that may have run, and ends the connection.
 
-use crate::journey::Outcome;
+use crate::request_state::Outcome;
 use bytes::Bytes;
 use granitelead_base::set_user_timeout;
 use granitelead_base::wire::{Place, Wire, WireIo};
@@ -93,7 +93,7 @@
 }
 
 /// All connections to servers.
-pub struct Dials {
+pub struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     open: Rc<Cell<usize>>,
     most: usize,
@@ -104,10 +104,10 @@
 /// What an attempt gives: how it ended, and the answer if there is one to pass on.
 pub type Attempt = (Outcome, Option<Answer>);
 
-impl Dials {
+impl ConnectionPool {
     /// At most so many at once.
-    pub fn new(most: usize) -> Dials {
-        Dials { idle: RefCell::default(), open: Rc::default(), most, opened: Cell::new(0) }
+    pub fn new(most: usize) -> ConnectionPool {
+        ConnectionPool { idle: RefCell::default(), open: Rc::default(), most, opened: Cell::new(0) }
     }
 
     /// Closes what is idle for too long, and all that is idle to an address that is no longer used.
@@ -216,10 +216,10 @@
                 guard.keep();
                 let now = Instant::now();
                 (one.until, one.promised) = (now + rest.kept, now + rest.promised);
-                let dials = self.clone();
+                let pool = self.clone();
                 spawn_local(async move {
                     if one.sender.ready().await.is_ok() {
-                        dials.give_back(to, one);
+                        pool.give_back(to, one);
                     }
                 });
             } else if !whole {
--- a/crates/crossbar/src/journey.rs
+++ b/crates/crossbar/src/request_state.rs
@@ -1,4 +1,4 @@
-//! One request's way: to which servers it goes, and what its one final answer is.
+//! The state of one request: to which servers it goes, and what its one final answer is.
 //!
 //! A request that may run once goes on to another server only where it is certain that it has not run. Each ends once,
 //! at once, and 429 and 503 are only said of what has not run and never will.
@@ -13,6 +13,9 @@
 const WORTH: f64 = 0.5;
 /// Part of the aim that a request may wait for a server.
 const HOLD: f64 = 0.2;
+/// Part of the time that is left in which a repeatable request's server must have answered, before another is asked
+/// beside it.
+const PATIENCE: f64 = 0.6;
 
 /// How an attempt ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -44,7 +47,7 @@
 
 /// One request from its reading to its answer.
 #[derive(Clone, Debug)]
-pub struct Journey {
+pub struct RequestState {
     /// Whether it may run more than once.
     pub repeats: Repeats,
     /// When it was read.
@@ -61,7 +64,7 @@
     pub may_have_run: bool,
 }
 
-impl Journey {
+impl RequestState {
     /// Until when it may wait for a server to have room.
     pub fn hold_until(&self) -> Millis {
         (self.begun + (self.aim as f64 * HOLD) as Millis).min(self.deadline)
@@ -97,8 +100,7 @@
             return Next::Pass;
         }
         let allowed = self.repeats == Repeats::Safe || !self.may_have_run;
-        let time = now as f64 + WORTH * usual < self.deadline as f64;
-        if allowed && time && (self.tried.len() as u32) < self.attempts && budget() {
+        if allowed && self.is_worth_a_try(now, usual) && self.has_attempts() && budget() {
             return Next::Send;
         }
         match outcome {
@@ -107,6 +109,32 @@
         }
     }
 
+    /// When a server that is sent the request now is overdue, so that another may be asked beside it: never, where no
+    /// other may have it.
+    pub fn overdue_at(&self, now: Millis) -> Option<Millis> {
+        let left = self.deadline.saturating_sub(now);
+        let patience = (left as f64 * PATIENCE) as Millis;
+        (self.may_hedge() && patience > 0).then_some(now + patience)
+    }
+
+    /// Whether another server is asked beside one that is overdue, which goes on working: whichever answers first is
+    /// passed on. `usual` and `budget` are as in [`RequestState::on_outcome`].
+    pub fn hedges(&self, now: Millis, usual: f64, budget: impl FnOnce() -> bool) -> bool {
+        self.may_hedge() && self.is_worth_a_try(now, usual) && budget()
+    }
+
+    fn may_hedge(&self) -> bool {
+        self.repeats == Repeats::Safe && self.has_attempts()
+    }
+
+    fn has_attempts(&self) -> bool {
+        (self.tried.len() as u32) < self.attempts
+    }
+
+    fn is_worth_a_try(&self, now: Millis, usual: f64) -> bool {
+        now as f64 + WORTH * usual < self.deadline as f64
+    }
+
     /// The final answer where no server's is passed on.
     pub fn ending(&self, now: Millis) -> Kind {
         match (self.may_have_run, now >= self.deadline) {
@@ -122,9 +150,9 @@
     use super::*;
     use googletest::prelude::*;
 
-    fn journey(repeats: Repeats) -> Journey {
+    fn request(repeats: Repeats) -> RequestState {
         let tried = vec!["a".into()];
-        Journey { repeats, begun: 0, deadline: 600, aim: 250, attempts: 2, tried, may_have_run: false }
+        RequestState { repeats, begun: 0, deadline: 600, aim: 250, attempts: 2, tried, may_have_run: false }
     }
 
     #[gtest]
@@ -139,16 +167,16 @@
             (Outcome::Broken, Next::End(Kind::Upstream), Next::Send),
             (Outcome::Silent, Next::End(Kind::Upstream), Next::Send),
         ] {
-            let next = journey(Repeats::Once).on_outcome(100, &outcome, 50.0, || true);
+            let next = request(Repeats::Once).on_outcome(100, &outcome, 50.0, || true);
             expect_that!(next, eq(&once), "{outcome:?}");
-            let next = journey(Repeats::Safe).on_outcome(100, &outcome, 50.0, || true);
+            let next = request(Repeats::Safe).on_outcome(100, &outcome, 50.0, || true);
             expect_that!(next, eq(&safe), "{outcome:?}");
         }
     }
 
     #[gtest]
     fn attempts_time_and_budget_bound_further_tries_and_only_what_did_not_run_is_promised_so() {
-        let mut all_tried = journey(Repeats::Safe);
+        let mut all_tried = request(Repeats::Safe);
         all_tried.tried.push("b".into());
         expect_that!(
             all_tried.on_outcome(100, &Outcome::TurnedAway, 50.0, || true),
@@ -162,10 +190,10 @@
             all_tried.on_outcome(100, &Outcome::TurnedAway, 50.0, || true),
             eq(&Next::End(Kind::Upstream))
         );
-        let mut late = journey(Repeats::Safe);
+        let mut late = request(Repeats::Safe);
         expect_that!(late.on_outcome(590, &Outcome::NotSent, 50.0, || true), eq(&Next::End(Kind::NoRoom)));
         expect_that!(late.on_outcome(600, &Outcome::Silent, 50.0, || true), eq(&Next::End(Kind::Deadline)));
-        let mut poor = journey(Repeats::Safe);
+        let mut poor = request(Repeats::Safe);
         expect_that!(
             poor.on_outcome(100, &Outcome::TurnedAway, 50.0, || false),
             eq(&Next::End(Kind::NoRoom))
--- a/crates/crossbar/src/servers.rs
+++ b/crates/crossbar/src/servers.rs
@@ -190,11 +190,19 @@
         }
     }
 
-    /// A request with this aim has ended there. What is usual is known for each kind of request: a service that answers
-    /// searches in a second and payments in a tenth of one would else look fast or slow by what it was asked for.
+    /// A request with this aim has ended there.
     pub fn end(&mut self, now: Millis, id: &str, sign: Sign, aim: Millis) {
+        if let Some(server) = self.by_id.get_mut(id) {
+            server.under_way = server.under_way.saturating_sub(1);
+        }
+        self.observe(now, id, sign, aim);
+    }
+
+    /// Learns something of a server from a request with this aim, which may still be under way there. What is usual is
+    /// known for each kind of request: a service that answers searches in a second and payments in a tenth of one would
+    /// else look fast or slow by what it was asked for.
+    pub fn observe(&mut self, now: Millis, id: &str, sign: Sign, aim: Millis) {
         let Some(server) = self.by_id.get_mut(id) else { return };
-        server.under_way = server.under_way.saturating_sub(1);
         match sign {
             Sign::Good(took) => {
                 (server.answered, server.failures) = (Some(now), 0);
--- /dev/null
+++ b/crates/crossbar/src/sessions.rs
@@ -0,0 +1,142 @@
+//! Sessions with markers: opened as far as they are wanted, held while both sides speak.
+
+use crate::front::Front;
+use granitelead_base::Backoff;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
+use trunk::line::{self, Sender};
+use trunk::words::{Down, Up, Word};
+
+/// How often what was let in is reported, and sessions are looked after.
+pub const BATCH: Duration = Duration::from_millis(50);
+/// How often a session says that it stands.
+pub const PING: Duration = Duration::from_millis(150);
+/// The same for one that is not the home.
+pub const PING_OTHER: Duration = Duration::from_millis(550);
+/// A marker that says nothing for so long is gone: it would have answered three times.
+pub const SILENCE: Duration = Duration::from_millis(1_800);
+
+/// A gatekeeper's sessions with markers.
+pub struct Sessions {
+    front: Rc<Front>,
+    port: u16,
+    open: RefCell<BTreeMap<Ipv4Addr, Sender>>,
+    connecting: RefCell<BTreeSet<Ipv4Addr>>,
+    backoff: RefCell<Backoff>,
+}
+
+impl Sessions {
+    /// None yet; markers listen at this port.
+    pub fn new(front: Rc<Front>, port: u16) -> Rc<Sessions> {
+        Rc::new(Sessions {
+            front,
+            port,
+            open: RefCell::default(),
+            connecting: RefCell::default(),
+            backoff: RefCell::new(Backoff::new(fastrand::u64(..))),
+        })
+    }
+
+    /// Keeps sessions open and reports what was let in, for ever.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            self.look();
+            let (was_ready, batch, is_ready) = {
+                let gate = &mut *self.front.gate.borrow_mut();
+                (gate.is_ready(), gate.on_batch(self.front.now()), gate.is_ready())
+            };
+            self.say(batch);
+            if is_ready && !was_ready {
+                self.front.news.notify_waiters();
+            }
+            tokio::time::sleep(BATCH).await;
+        }
+    }
+
+    fn say(&self, words: impl IntoIterator<Item = (Ipv4Addr, Up)>) {
+        let open = self.open.borrow();
+        for (ip, word) in words {
+            if let Some(line) = open.get(&ip) {
+                line.send(&Word::Up(word));
+            }
+        }
+    }
+
+    /// Looks for further sessions as far as they are wanted.
+    fn look(self: &Rc<Self>) {
+        let wanted = {
+            let connecting = self.connecting.borrow();
+            self.front.gate.borrow_mut().control.wanted(&connecting)
+        };
+        if let Some(ip) = self.front.gate.borrow().control.surplus() {
+            self.open.borrow().get(&ip).iter().for_each(|line| line.close());
+        }
+        if let Some(ip) = wanted {
+            self.connecting.borrow_mut().insert(ip);
+            spawn_local(self.clone().hold(ip));
+        }
+    }
+
+    /// Opens a session and holds it until it ends.
+    async fn hold(self: Rc<Self>, ip: Ipv4Addr) {
+        let dialled = line::dial(SocketAddr::from((ip, self.port))).await;
+        let stream = match dialled {
+            Ok(stream) => stream,
+            Err(ended) => {
+                log::info!("{ip}: {ended}");
+                // Drawn, so that gatekeepers that lost a marker together do not come back together.
+                let wait = self.backoff.borrow_mut().draw();
+                tokio::time::sleep(wait).await;
+                self.connecting.borrow_mut().remove(&ip);
+                return;
+            }
+        };
+        self.backoff.borrow_mut().reset();
+        let sender = Sender::default();
+        let hello = {
+            let gate = &mut *self.front.gate.borrow_mut();
+            let (has, servers) = (gate.revision(), gate.servers.all());
+            gate.control.open(self.front.now(), ip, has, servers)
+        };
+        self.open.borrow_mut().insert(ip, sender.clone());
+        self.connecting.borrow_mut().remove(&ip);
+        sender.send(&Word::Up(hello));
+        let sessions = self.clone();
+        let carried = line::carry(stream, sender.clone(), SILENCE, move |word| sessions.take(ip, word));
+        let pings = async {
+            let mut said = Instant::now();
+            loop {
+                tokio::time::sleep(PING).await;
+                let home = self.front.gate.borrow().control.home() == Some(ip);
+                if home || said.elapsed() >= PING_OTHER {
+                    said = Instant::now();
+                    sender.send(&Word::Up(Up::Ping));
+                }
+            }
+        };
+        let ended = tokio::select! {
+            ended = carried => ended,
+            () = pings => line::Ended::Closed,
+        };
+        log::info!("session with {ip}: {ended}");
+        self.open.borrow_mut().remove(&ip);
+        let say = self.front.gate.borrow_mut().control.close(ip);
+        self.say(say);
+    }
+
+    fn take(&self, ip: Ipv4Addr, word: Word) {
+        let Word::Down(word) = word else { return };
+        let now = self.front.now();
+        let news = word != Down::Pong;
+        let say = self.front.gate.borrow_mut().on_down(now, ip, word);
+        if news {
+            self.front.room.notify_waiters();
+            self.front.news.notify_waiters();
+        }
+        self.say(say);
+    }
+}
--- a/crates/lab/src/hollow/gatekeepers.rs
+++ b/crates/lab/src/hollow/gatekeepers.rs
@@ -4,8 +4,8 @@
 use super::configuration::tenant;
 use super::seen::Seen;
 use crossbar::control::{Change, Control};
-use crossbar::run::{BATCH, PING, PING_OTHER, SILENCE};
 use crossbar::servers::Servers;
+use crossbar::sessions::{BATCH, PING, PING_OTHER, SILENCE};
 use crossbar::Millis;
 use granitelead_base::Backoff;
 use std::cell::{Cell, RefCell};
--- a/crates/plugboard/src/logs.rs
+++ b/crates/plugboard/src/logs.rs
@@ -55,6 +55,12 @@
     let _ = std::io::stderr().write_all(text.as_bytes());
 }
 
+/// Writes one line at once, past the ring: for the few that are wanted from every process.
+pub fn write_line(line: &str) {
+    // Nobody is left to be told that the log can't be written.
+    let _ = std::io::stderr().write_all(format!("{line}\n").as_bytes());
+}
+
 /// Starts the log of this process. A second call changes nothing.
 pub fn start() {
     let mut held = ring();
