Let an overdue server go on beside the next one

Cause: an attempt of a repeatable request was broken off after 0.6 of the time that was left. Where then no other server had room, no attempt, budget or time was left, or the next server turned it away, the gatekeeper answered 502 or 504 itself while a server had been at work and time was left. Ruled out: cutting only when the next attempt is certain: the next server may still turn it away, fail or be silent. Change: an attempt ends by its server, by the deadline, by the end of the grace period, by another attempt's answer, or with its client. Where it is overdue another server is asked beside it, within attempts and budget, and the first answer is passed on. A server's own failure is kept and passed on where nothing better comes.

--- a/crates/crossbar/src/forward.rs
+++ b/crates/crossbar/src/forward.rs
@@ -145,12 +145,7 @@
                         return response;
                     }
                 }
-                Event::Overdue => {
-                    self.on_overdue();
-                    if self.attempts.is_empty() {
-                        return self.end_without_answer();
-                    }
-                }
+                Event::Overdue => self.on_overdue(),
                 Event::TimeOver(cause) => {
                     self.break_off(cause);
                     return self.end_without_answer();
@@ -270,8 +265,11 @@
     /// The newest attempt takes long: another server is asked beside it, if that is allowed and one has room.
     fn on_overdue(&mut self) {
         let now = self.front.now();
-        self.overdue_at = None;
-        self.break_off(BreakOff::Deadline);
+        self.overdue_at = self.state.overdue_at(now);
+        if let Some(newest) = self.attempts.last_mut().filter(|attempt| !attempt.is_overdue) {
+            newest.is_overdue = true;
+            newest.placement.observe_overdue();
+        }
         let (usual, has_budget) = self.usual_time_and_budget(now);
         if self.state.hedges(now, usual, || has_budget) {
             self.try_another(now);
