Linger before a client's connection is closed

Cause: a socket that is closed while received bytes are unread, or that gets bytes after its close, is reset, and the reset destroys the part of the last answer that has not been delivered. Ruled out: reading on and dropping whole requests: they would count as read, and their clients send them again only if they were not. Change: the sending side is shut down first; the socket stays until the client closes its side, for 500 ms once the client is seen to have sent more, for 2 s at the longest. What is left unread stays unread, but for the rest of a body whose request has been answered.

--- a/crates/crossbar/src/client_stream.rs
+++ b/crates/crossbar/src/client_stream.rs
@@ -1,11 +1,12 @@
 //! The socket of one client, as the HTTP library sees it.
 
 use crate::connections::ClientConnection;
+use crate::linger::Linger;
 use crate::pipeline::StartEarly;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -14,12 +15,13 @@
     stream: TcpStream,
     connection: Rc<ClientConnection>,
     start_early: StartEarly,
+    linger: Option<Linger>,
 }
 
 impl ClientStream {
     /// Wraps the socket of a connection.
     pub fn new(stream: TcpStream, connection: Rc<ClientConnection>, start_early: StartEarly) -> ClientStream {
-        ClientStream { stream, connection, start_early }
+        ClientStream { stream, connection, start_early, linger: None }
     }
 }
 
@@ -58,6 +60,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let this = &mut *self;
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+        }
+        let discards = this.connection.is_body_unread();
+        this.linger.get_or_insert_with(|| Linger::new(discards)).poll(cx, &mut this.stream)
     }
 }
