Begin no request after SIGTERM that can't end in the grace period

Cause: a request that comes on an open connection late in the grace period was sent to a server whatever its deadline, and cut when the process ended. Ruled out: refusing everything after SIGTERM: what can be answered is. Change: a request is let in if its deadline lies before the last answers (600 ms before SIGKILL), or in the first 2.5 s if twice its service's usual time fits; else it is refused at once, unexecuted.

--- a/crates/crossbar/src/gate.rs
+++ b/crates/crossbar/src/gate.rs
@@ -204,7 +204,7 @@
         if let Some(drain) = &self.drain {
             let aim = route.target.as_millis() as Millis;
             let usual = self.servers.typical(&service, aim).map_or(aim, |usual| usual as Millis);
-            deadline = drain.deadline(now, deadline, usual).unwrap_or(deadline);
+            deadline = drain.deadline(now, deadline, usual).ok_or(Refusal::from(Kind::NoRoom))?;
         }
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
         let place = configuration.hosts[&host].iter().position(|r| r.prefix == route.prefix).unwrap_or(0);
