--- a/crates/crossbar/src/connections.rs
+++ b/crates/crossbar/src/connections.rs
@@ -99,7 +99,7 @@
     pub fn request_close(&self, patience: Duration) {
         let started = self.started.get();
         let is_answering = self.phase.get() == Phase::Busy || self.has_waiting_requests();
-        let last = if is_answering { started } else { started + 1 };
+        let last = if is_answering { self.read().max(started) } else { started + 1 };
         let last = self.closes_after.get().unwrap_or(last);
         self.closes_after.set(Some(last));
         let is_done = match self.phase.get() {
--- a/crates/crossbar/tests/caller.rs
+++ b/crates/crossbar/tests/caller.rs
@@ -488,7 +488,7 @@
             _ => {}
         }
     }
-    for id in asked.behind.iter().filter(|id| asked.once[*id]) {
+    for id in &asked.behind {
         found.extend(
             arrivals.iter().filter(|a| a.id == *id).map(|a| format!("{id} is sent again, after {a:?}")),
         );
