--- a/crates/crossbar/src/front.rs
+++ b/crates/crossbar/src/front.rs
@@ -64,12 +64,8 @@
         self.begun.elapsed().as_millis() as Millis
     }
 
-    /// Whether the work on a request may start before its turn: only if its route's requests may run more than once,
-    /// and not while the process ends.
+    /// Whether the work on a request may start before its turn: only if its route's requests may run more than once.
     pub fn may_start_early(&self, parts: &Parts) -> bool {
-        if self.is_draining() {
-            return false;
-        }
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
         let gate = self.gate.borrow();
         let route = gate.configuration.as_ref().and_then(|c| c.route(host, parts.uri.path()));
--- a/crates/crossbar/tests/shutdown.rs
+++ b/crates/crossbar/tests/shutdown.rs
@@ -43,9 +43,13 @@
     /// Some servers with this script, and a gatekeeper before them that sends a request to `attempts` of them at the
     /// most.
     async fn new(script: Vec<Act>, servers: usize, attempts: u32, seed: u64) -> Stage {
+        Stage::with_timeout(TIMEOUT, script, servers, attempts, seed).await
+    }
+
+    async fn with_timeout(timeout: u64, script: Vec<Act>, servers: usize, attempts: u32, seed: u64) -> Stage {
         let books = Rc::new(Servers { script: RefCell::new(script.into()), ..Servers::default() });
         let addresses = books.start(servers).await;
-        let gatekeeper = Gatekeeper::start(configuration(TIMEOUT, attempts), &addresses, seed).await;
+        let gatekeeper = Gatekeeper::start(configuration(timeout, attempts), &addresses, seed).await;
         Stage { servers: books, gatekeeper: Rc::new(gatekeeper) }
     }
 
@@ -132,24 +136,74 @@
     }
 }
 
+/// A client that reads nothing yet holds up the answer that is being written, while the next one is at a server.
 #[gtest]
-fn nothing_is_started_before_its_turn_once_the_connection_is_to_close() {
-    in_virtual_time(async {
+fn a_connection_whose_answer_is_still_being_written_answers_what_is_behind_it_too() {
+    for stale in [false, true] {
+        in_virtual_time(async move {
+            let large = Act { work: 10, reply: Reply::Good(500_000) };
+            let stage = Stage::new(vec![large, good_after(1_000)], 4, 1, 7).await;
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.set_recv_buffer_size(4_096).unwrap();
+            let mut stream = socket.connect(stage.gatekeeper.address).await.unwrap();
+            let both = request("safe", "id-0", 2_000) + &request("safe", "id-1", 2_000);
+            stream.write_all(both.as_bytes()).await.unwrap();
+            sleep(ms(200)).await;
+            if stale {
+                stage.gatekeeper.connections.close_stale(Duration::ZERO, ms(100));
+            } else {
+                drop(stage.terminate());
+                sleep(ms(1_100)).await;
+            }
+            let mut bytes = Vec::new();
+            let first = hear(&mut stream, &mut bytes).await;
+            expect_that!(first.map(|answer| answer.body.len()), some(eq(500_000)), "stale {stale}");
+            let second = hear(&mut stream, &mut bytes).await;
+            expect_that!(second.map(|answer| answer.status), some(eq(200)), "stale {stale}");
+        });
+    }
+}
+
+#[gtest]
+fn a_connection_that_has_just_come_may_send_its_request_after_sigterm() {
+    for (waits, answered) in [(0, true), (100, true), (900, true), (1_200, false)] {
+        in_virtual_time(async move {
+            let stage = Stage::new(Vec::new(), 1, 1, 7).await;
+            let mut stream = stage.connect().await;
+            sleep(ms(5)).await;
+            let ended = stage.terminate();
+            sleep(ms(waits)).await;
+            stream.write_all(request("safe", "id", 2_000).as_bytes()).await.unwrap();
+            let heard = hear(&mut stream, &mut Vec::new()).await;
+            expect_that!(heard.is_some_and(|heard| heard.closes), eq(answered), "{waits} ms");
+            expect_that!(ended.await.unwrap().open_connections, eq(0), "{waits} ms");
+        });
+    }
+}
+
+/// The answer to a request under way, and how many servers have seen one that comes behind it once `end` has been done.
+fn sent_behind(end: impl FnOnce(&Stage)) -> (Heard, usize) {
+    in_virtual_time(async move {
         let stage = Stage::new(vec![good_after(160)], 4, 1, 7).await;
         let mut stream = stage.connect().await;
         stream.write_all(request("safe", "id-0", 2_000).as_bytes()).await.unwrap();
         sleep(ms(50)).await;
-        let ended = stage.terminate();
+        end(&stage);
         sleep(ms(10)).await;
         stream.write_all(request("safe", "id-1", 2_000).as_bytes()).await.unwrap();
         let first = hear(&mut stream, &mut Vec::new()).await.expect("the first is answered");
-        expect_that!((first.status, first.closes), eq((200, true)));
-        // It is left unread, and its client sends it again elsewhere.
-        expect_that!(stage.servers.of("id-1"), is_empty());
-        drop(stream);
-        expect_that!(ended.await.unwrap().unanswered, eq(0));
-        expect_that!(stage.servers.of("id-1"), is_empty());
-    });
+        sleep(ms(5_000)).await;
+        (first, stage.servers.of("id-1").len())
+    })
+}
+
+/// It is left unread, and its client sends it again elsewhere.
+#[gtest]
+fn nothing_is_started_before_its_turn_once_the_connection_is_to_close() {
+    let (first, behind) = sent_behind(|stage| drop(stage.terminate()));
+    expect_that!((first.status, first.closes, behind), eq((200, true, 0)));
+    let (first, behind) = sent_behind(|stage| stage.gatekeeper.connections.close_all(Duration::ZERO));
+    expect_that!((first.status, first.closes, behind), eq((200, true, 0)));
 }
 
 #[gtest]
@@ -265,8 +319,10 @@
     in_virtual_time(async {
         let stage = Stage::new(Vec::new(), 1, 1, 7).await;
         let mut stream = stage.connect().await;
-        let body = "b".repeat(900_000);
-        let head = request("nowhere", "id", 2_000).replace("\r\n\r\n", "\r\nContent-Length: 900000\r\n\r\n");
+        // More than all buffers on the way hold.
+        let body = "b".repeat(32 << 20);
+        let length = format!("\r\nContent-Length: {}\r\n\r\n", body.len());
+        let head = request("nowhere", "id", 2_000).replace("\r\n\r\n", &length);
         // The client writes all before it reads.
         let written = stream.write_all(format!("{head}{body}").as_bytes()).await;
         expect_that!(written.is_ok(), eq(true));
@@ -320,6 +376,28 @@
     }
 }
 
+#[gtest]
+fn what_has_no_answer_when_the_grace_period_is_over_is_answered_rather_than_cut() {
+    in_virtual_time(async {
+        let silence = Act { work: 0, reply: Reply::Silence };
+        let script = vec![silence, silence];
+        let stage = Rc::new(Stage::with_timeout(30_000, script, 2, 1, 7).await);
+        let asking = stage.clone();
+        let asked = spawn_local(async move {
+            let (safe, once) = (asking.ask("safe", "id-0", 20_000), asking.ask("once", "id-1", 20_000));
+            tokio::join!(safe, once)
+        });
+        sleep(ms(5)).await;
+        let report = stage.terminate().await.unwrap();
+        expect_that!(report.took, all!(ge(GRACE - ms(600)), le(GRACE - ms(300))));
+        expect_that!((report.unanswered, report.open_connections), eq((0, 0)));
+        let (safe, once) = asked.await.unwrap();
+        // It may have run: no promise.
+        expect_that!([safe, once].map(|heard| heard.map(|heard| heard.status)), eq(&[Some(504), Some(504)]));
+        expect_that!(stage.broken_off(BreakOff::GracePeriod), eq(2));
+    });
+}
+
 #[gtest]
 fn a_request_that_can_not_be_answered_in_time_is_refused_unexecuted() {
     in_virtual_time(async {
