--- a/crates/crossbar/tests/shutdown.rs
+++ b/crates/crossbar/tests/shutdown.rs
@@ -393,7 +393,7 @@
         expect_that!((report.unanswered, report.open_connections), eq((0, 0)));
         let (safe, once) = asked.await.unwrap();
         // It may have run: no promise.
-        expect_that!([safe, once].map(|heard| heard.map(|heard| heard.status)), eq(&[Some(504), Some(504)]));
+        expect_that!([safe, once].map(|heard| heard.map(|heard| heard.status)), eq([Some(504), Some(504)]));
         expect_that!(stage.broken_off(BreakOff::GracePeriod), eq(2));
     });
 }
