Ask another server in time for the end of the grace period

Change: the signal wakes each request; its deadline becomes the last moment for answers, and the time after which another server is asked follows it. The flag and wake-up for giving up are gone, as this is the ordinary deadline. Figures: tests/shutdown.rs, 20 s left, 500 ms in: 504 after 5,400 ms -> 200 within 5,000 ms.

--- a/crates/crossbar/src/drain.rs
+++ b/crates/crossbar/src/drain.rs
@@ -36,7 +36,7 @@
         self.begun + ACCEPT.min(self.grace / 2)
     }
 
-    /// When requests that have no answer yet are answered without their servers.
+    /// When requests that have no answer yet are answered without waiting for their servers any longer.
     pub fn gives_up_at(&self) -> Millis {
         self.begun + self.grace.saturating_sub(ANSWER_MARGIN)
     }
--- a/crates/crossbar/src/forward.rs
+++ b/crates/crossbar/src/forward.rs
@@ -4,6 +4,7 @@
 //! beside it, and the first answer is passed on. See [`crate::break_offs`] for what may end an attempt early.
 
 use crate::break_offs::BreakOff;
+use crate::drain::Drain;
 use crate::front::Front;
 use crate::gate::Pass;
 use crate::messages::{forwarded, passed_on, ResponseBody};
@@ -14,7 +15,6 @@
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use hyper::Response;
-use plugboard::kinds::Kind;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -88,8 +88,10 @@
     Ended(usize, Outcome, Option<Answer>),
     /// The newest attempt has taken suspiciously long.
     Overdue,
+    /// The process has been told to end.
+    DrainBegun,
     /// There is no time left.
-    TimeOver(BreakOff),
+    TimeOver,
 }
 
 /// A request on its way.
@@ -146,8 +148,9 @@
                     }
                 }
                 Event::Overdue => self.on_overdue(),
-                Event::TimeOver(cause) => {
-                    self.break_off(cause);
+                Event::DrainBegun => {}
+                Event::TimeOver => {
+                    self.break_off(self.time_limit());
                     return self.end_without_answer();
                 }
             }
@@ -216,8 +219,9 @@
 
     async fn next_event(&mut self) -> Event {
         let front = self.front;
-        if front.is_giving_up() {
-            return Event::TimeOver(BreakOff::GracePeriod);
+        let drain = front.drain();
+        if let Some(drain) = drain {
+            self.shorten(drain);
         }
         let wake_at = self.overdue_at.unwrap_or(self.state.deadline).min(self.state.deadline);
         let is_overdue = wake_at < self.state.deadline;
@@ -227,10 +231,28 @@
             (place, (outcome, answer)) = poll_fn(|cx| poll_any(attempts, cx)) => {
                 Event::Ended(place, outcome, answer)
             }
-            () = front.giving_up() => Event::TimeOver(BreakOff::GracePeriod),
-            () = front.sleep_until(wake_at) => {
-                if is_overdue { Event::Overdue } else { Event::TimeOver(BreakOff::Deadline) }
-            }
+            () = front.draining(), if drain.is_none() => Event::DrainBegun,
+            () = front.sleep_until(wake_at) => if is_overdue { Event::Overdue } else { Event::TimeOver },
+        }
+    }
+
+    /// Has the request end before the process does, and another server asked in time for that.
+    fn shorten(&mut self, drain: Drain) {
+        let limit = drain.gives_up_at();
+        if limit < self.state.deadline {
+            self.state.deadline = limit;
+            let overdue_at = self.state.overdue_at(self.front.now());
+            self.overdue_at = self.overdue_at.min(overdue_at);
+        }
+    }
+
+    /// What sets the time in which the request must be answered.
+    fn time_limit(&self) -> BreakOff {
+        let is_by_drain = |drain: Drain| self.state.deadline == drain.gives_up_at();
+        if self.front.drain().is_some_and(is_by_drain) {
+            BreakOff::GracePeriod
+        } else {
+            BreakOff::Deadline
         }
     }
 
@@ -316,8 +338,7 @@
             Some(failure) => passed_on(failure),
             None => {
                 let kind = self.state.ending(self.front.now());
-                let is_cut = kind == Kind::Upstream && self.front.is_giving_up();
-                self.front.refuse(if is_cut { Kind::Deadline } else { kind }, Some(self.pass))
+                self.front.refuse(kind, Some(self.pass))
             }
         }
     }
--- a/crates/crossbar/src/front.rs
+++ b/crates/crossbar/src/front.rs
@@ -36,8 +36,7 @@
     pub held_max: usize,
     /// Requests that were broken off at servers.
     pub break_offs: BreakOffs,
-    give_up: Cell<bool>,
-    gave_up: Notify,
+    drain_begun: Notify,
     begun: Instant,
 }
 
@@ -53,8 +52,7 @@
             held: Cell::new(0),
             held_max,
             break_offs: BreakOffs::default(),
-            give_up: Cell::new(false),
-            gave_up: Notify::new(),
+            drain_begun: Notify::new(),
             begun: Instant::now(),
         }
     }
@@ -81,28 +79,18 @@
     pub fn begin_drain(&self, grace: Duration) -> Drain {
         let drain = Drain::new(self.now(), grace.as_millis() as Millis);
         self.gate.borrow_mut().drain = Some(drain);
+        self.drain_begun.notify_waiters();
         drain
     }
 
-    /// Whether the process is about to end.
-    pub fn is_draining(&self) -> bool {
-        self.gate.borrow().drain.is_some()
+    /// How the process ends, once it has been told to.
+    pub fn drain(&self) -> Option<Drain> {
+        self.gate.borrow().drain
     }
 
-    /// Has every request that is still open answered at once.
-    pub fn give_up(&self) {
-        self.give_up.set(true);
-        self.gave_up.notify_waiters();
-    }
-
-    /// Whether requests are answered without waiting for their servers any longer.
-    pub fn is_giving_up(&self) -> bool {
-        self.give_up.get()
-    }
-
-    /// Completes when [`Front::give_up`] is called.
-    pub async fn giving_up(&self) {
-        self.gave_up.notified().await;
+    /// Completes when [`Front::begin_drain`] is called.
+    pub async fn draining(&self) {
+        self.drain_begun.notified().await;
     }
 
     /// The final answer where no server's is passed on.
--- a/crates/crossbar/src/listeners.rs
+++ b/crates/crossbar/src/listeners.rs
@@ -36,7 +36,7 @@
     let _ = stream.set_nodelay(true);
     set_user_timeout(&stream, UNACKNOWLEDGED, &Cell::new(1));
     let connection = slot.connection.clone();
-    if front.is_draining() {
+    if front.drain().is_some() {
         connection.request_close(CLOSE_PATIENCE);
     }
     let head = front.gate.borrow().configuration.as_ref().map_or(HEAD_LEAST, |c| c.limits.head);
--- a/crates/crossbar/src/shutdown.rs
+++ b/crates/crossbar/src/shutdown.rs
@@ -48,9 +48,6 @@
             accepts = false;
             continue;
         }
-        if now >= drain.gives_up_at() {
-            front.give_up();
-        }
         let is_done = !accepts && front.open.get() == 0 && connections.count() == 0;
         if is_done || now >= drain.ends_at() {
             return ShutdownReport {
--- a/crates/crossbar/tests/shutdown.rs
+++ b/crates/crossbar/tests/shutdown.rs
@@ -354,6 +354,28 @@
     });
 }
 
+#[gtest]
+fn the_process_waits_until_a_slow_client_has_read_its_answer() {
+    in_virtual_time(async {
+        let large = Act { work: 10, reply: Reply::Good(500_000) };
+        let stage = Stage::new(vec![large], 1, 1, 7).await;
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4_096).unwrap();
+        let mut stream = socket.connect(stage.gatekeeper.address).await.unwrap();
+        stream.write_all(request("safe", "id", 2_000).as_bytes()).await.unwrap();
+        sleep(ms(50)).await;
+        let ended = stage.terminate();
+        sleep(ms(2_800)).await;
+        expect_that!(ended.is_finished(), eq(false));
+        let answer = hear(&mut stream, &mut Vec::new()).await;
+        expect_that!(answer.map(|answer| answer.body.len()), some(eq(500_000)));
+        drop(stream);
+        let report = ended.await.unwrap();
+        expect_that!(report.took, all!(ge(ms(2_800)), le(ms(2_900))));
+        expect_that!(report.open_connections, eq(0));
+    });
+}
+
 #[gtest]
 fn the_process_ends_when_all_is_answered_and_answers_all_before_it_is_killed() {
     let silence = Act { work: 0, reply: Reply::Silence };
@@ -398,6 +420,22 @@
     });
 }
 
+#[gtest]
+fn another_server_is_asked_in_time_for_the_end_of_the_grace_period() {
+    in_virtual_time(async {
+        // Without the signal the second server would be asked after 12 s.
+        let silence = Act { work: 0, reply: Reply::Silence };
+        let script = vec![silence, good_after(1_300)];
+        let stage = Rc::new(Stage::with_timeout(30_000, script, 2, 2, 7).await);
+        let asking = stage.clone();
+        let asked = spawn_local(async move { asking.ask("safe", "id", 20_000).await });
+        sleep(ms(500)).await;
+        let report = stage.terminate().await.unwrap();
+        expect_that!(report.took, all!(ge(ms(4_000)), le(ms(5_000))));
+        expect_that!(asked.await.unwrap().map(|heard| heard.status), some(eq(200)));
+    });
+}
+
 #[gtest]
 fn a_request_that_can_not_be_answered_in_time_is_refused_unexecuted() {
     in_virtual_time(async {
