Answer the calls that wait before a marker ends

Cause: a marker that was told to end did so once what it holds was held elsewhere, 400 ms at the least, also while calls waited for their answers (up to 900 ms), and without time for the last answers to be written. Ruled out: refusing calls at SIGTERM: one that is under way may be confirmed. Change: it goes on until no call waits, within its grace period, and one tick more.

--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -401,18 +401,27 @@
             Err(faults) => log::warn!("settings, which stay as they were: {faults}"),
         }
     }
+    end_in_order(&exchange, settings.bounds.grace).await;
+    Ok(())
+}
+
+/// Hands over, and goes on until what this marker holds is held elsewhere and all calls that have come are answered, or
+/// the grace period is nearly over.
+async fn end_in_order(exchange: &Rc<Exchange>, grace: Duration) {
+    let begun = Instant::now();
+    let last = grace.saturating_sub(LEAVE_BEFORE).max(LEAVE);
     exchange.leaving.set(true);
     exchange.step(|marker, now, out| marker.on_leave(now, out));
-    let last = settings.bounds.grace.saturating_sub(LEAVE_BEFORE).max(LEAVE);
-    let told = Instant::now();
     tokio::time::sleep(LEAVE).await;
-    while !exchange.marker.borrow().may_end() && told.elapsed() < last {
+    let may_end = || exchange.marker.borrow().may_end() && exchange.calls.borrow().is_empty();
+    while !may_end() && begun.elapsed() < last {
         tokio::time::sleep(TICK).await;
     }
+    // For answers that have just been given to be written.
+    tokio::time::sleep(TICK).await;
     if let Some(version) = exchange.marker.borrow().held_alone() {
         log::error!("ends with version {version:08x} in its folder, which nobody who stays is known to hold");
     }
-    Ok(())
 }
 
 fn ips(settings: &Settings) -> Vec<Ipv4Addr> {
