Linger in the gatekeeper that is in service too

Cause: the same as in crossbar, looked for elsewhere: its connections were closed at once, and bytes that came after it reset them. A client that reads late and sends more lost its answer. Ruled out: pipelined requests and patience: it begins no request before its turn, and its attempts are the decisions' own. Change: the lingering close moves to the base crate, and both programs use it. Figures: tests/operations.rs: an answer of 1,000,000 bytes, cut before, is whole.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,6 +1,7 @@
 //! What every program of the project stands on: its start, its log, waits between tries, connections to
 //! others.
 
+pub mod linger;
 pub mod wire;
 
 use std::future::Future;
--- a/crates/crossbar/tests/linger.rs
+++ b/crates/base/tests/linger.rs
@@ -1,7 +1,7 @@
 //! A connection that lingers: what it waits for, and what it leaves unread.
 
-use crossbar::linger::Linger;
 use googletest::prelude::*;
+use granitelead_base::linger::Linger;
 use std::future::poll_fn;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
--- a/crates/crossbar/src/client_stream.rs
+++ b/crates/crossbar/src/client_stream.rs
@@ -1,8 +1,8 @@
 //! The socket of one client, as the HTTP library sees it.
 
 use crate::connections::ClientConnection;
-use crate::linger::Linger;
 use crate::pipeline::StartEarly;
+use granitelead_base::linger::Linger;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
--- a/crates/crossbar/src/lib.rs
+++ b/crates/crossbar/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod front;
 pub mod gate;
 pub mod handler;
-pub mod linger;
 pub mod listeners;
 pub mod messages;
 pub mod pipeline;
--- a/crates/crossbar/tests/shutdown.rs
+++ b/crates/crossbar/tests/shutdown.rs
@@ -139,9 +139,11 @@
 /// A client that reads nothing yet holds up the answer that is being written, while the next one is at a server.
 #[gtest]
 fn a_connection_whose_answer_is_still_being_written_answers_what_is_behind_it_too() {
+    // More than all buffers on the way hold.
+    const SIZE: usize = 16 << 20;
     for stale in [false, true] {
         in_virtual_time(async move {
-            let large = Act { work: 10, reply: Reply::Good(500_000) };
+            let large = Act { work: 10, reply: Reply::Good(SIZE) };
             let stage = Stage::new(vec![large, good_after(1_000)], 4, 1, 7).await;
             let socket = TcpSocket::new_v4().unwrap();
             socket.set_recv_buffer_size(4_096).unwrap();
@@ -157,7 +159,7 @@
             }
             let mut bytes = Vec::new();
             let first = hear(&mut stream, &mut bytes).await;
-            expect_that!(first.map(|answer| answer.body.len()), some(eq(500_000)), "stale {stale}");
+            expect_that!(first.map(|answer| answer.body.len()), some(eq(SIZE)), "stale {stale}");
             let second = hear(&mut stream, &mut bytes).await;
             expect_that!(second.map(|answer| answer.status), some(eq(200)), "stale {stale}");
         });
--- a/crates/gatekeeper/src/clients/side.rs
+++ b/crates/gatekeeper/src/clients/side.rs
@@ -9,6 +9,7 @@
 use crate::servers::side::Parts;
 use crate::times;
 use bytes::Bytes;
+use granitelead_base::linger::Linger;
 use granitelead_base::{decimal, note, set_user_timeout, ACCEPT_PAUSE};
 use granitelead_decisions::settings::Names;
 use granitelead_decisions::{ClassId, CustomerId, Effect, PlanId};
@@ -25,7 +26,7 @@
 use std::net::IpAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
@@ -67,6 +68,7 @@
     stream: TcpStream,
     client: Rc<Client>,
     side: Rc<ClientSide>,
+    linger: Option<Linger>,
 }
 
 impl ClientIo {
@@ -121,7 +123,11 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        let this = self.get_mut();
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+        }
+        this.linger.get_or_insert_with(|| Linger::new(false)).poll(cx, &mut this.stream)
     }
 }
 
@@ -507,7 +513,7 @@
                 Ok::<_, Infallible>(answer)
             }
         });
-        let io = ClientIo { stream, client: client.clone(), side: self.clone() };
+        let io = ClientIo { stream, client: client.clone(), side: self.clone(), linger: None };
         let conn = hyper::server::conn::http1::Builder::new()
             .header_read_timeout(None)
             .half_close(self.half_close)
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -38,6 +38,23 @@
     assert_eq!(gatekeeper.ask(UP).status(), 200);
 }
 
+/// A client that reads late and sends more meanwhile: the reset of an early close would destroy what it has not read.
+#[test]
+fn an_answer_that_closes_reaches_a_client_that_has_sent_more() {
+    const SIZE: usize = 1_000_000;
+    let server = Server::start(ok(&"x".repeat(SIZE)));
+    let (gatekeeper, _discovery) = stage(&server);
+    let mut client = gatekeeper.connect();
+    assert!(gatekeeper.call("evacuate").starts_with("YES"));
+    client.send(&pull().text());
+    for _ in 0..50 {
+        client.try_send("GET / HTTP/1.1\r\n");
+        std::thread::sleep(Duration::from_millis(3));
+    }
+    let answer = client.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection"), answer.body.len()), (200, Some("close"), SIZE));
+}
+
 #[test]
 fn evacuated_clients_lose_nothing_and_leave_until_called_back() {
     let server = Server::start(ok("served"));
