Name three crates and the data plane's program by the field

Cause: the house style that named them after telephone exchanges is withdrawn. One more test: connections that wait in the listener's queue when it goes.

--- a/crates/trunk/tests/difference.rs
+++ b/crates/control-protocol/tests/difference.rs
@@ -1,9 +1,9 @@
 //! Differences between configurations: what comes out is what went in, byte for byte, or nothing.
 
 use googletest::prelude::*;
+use granitelead_control_protocol::difference::{Fault, SIZE_MAX};
+use granitelead_control_protocol::words::{Difference, Digest, Document, Run};
 use proptest::prelude::*;
-use trunk::difference::{Fault, SIZE_MAX};
-use trunk::words::{Difference, Digest, Document, Run};
 
 fn document(version: u32, bytes: impl Into<Vec<u8>>) -> Document {
     Document { version, bytes: bytes.into() }
--- a/crates/trunk/tests/ledger.rs
+++ b/crates/control-protocol/tests/ledger.rs
@@ -1,8 +1,8 @@
 //! The ledger of numbers and contents.
 
 use googletest::prelude::*;
-use trunk::ledger::{Known, NUMBERS_MAX};
-use trunk::words::{Digest, Ledger};
+use granitelead_control_protocol::ledger::{Known, NUMBERS_MAX};
+use granitelead_control_protocol::words::{Digest, Ledger};
 
 #[gtest]
 fn a_number_stands_for_its_first_content() {
--- a/crates/trunk/tests/line.rs
+++ b/crates/control-protocol/tests/line.rs
@@ -1,10 +1,10 @@
 //! A held connection whose peer does not read.
 
 use googletest::prelude::*;
+use granitelead_control_protocol::line::{self, Ended, Sender};
+use granitelead_control_protocol::words::{Document, Down, News, Word};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use trunk::line::{self, Ended, Sender};
-use trunk::words::{Document, Down, News, Word};
 
 /// More may wait than its buffers hold; it ends at once when it is given up, also amid a write that does not go on.
 #[gtest]
--- a/crates/lab/src/hollow/gatekeepers.rs
+++ b/crates/lab/src/hollow/gatekeepers.rs
@@ -1,13 +1,15 @@
-//! Hollow gatekeepers: the sessions of `crossbar`, held by its own state machine over the system's own lines, and nothing
+//! Hollow gatekeepers: the sessions of `granitelead-proxy`, held by its own state machine over the system's own lines, and nothing
 //! else. What a gatekeeper keeps of what it is told (configuration, servers) is kept once for all of one thread.
 
 use super::configuration::tenant;
 use super::seen::Seen;
-use crossbar::control::{Change, Control};
-use crossbar::servers::Servers;
-use crossbar::sessions::{BATCH, PING, PING_OTHER, SILENCE};
-use crossbar::Millis;
 use granitelead_base::Backoff;
+use granitelead_control_protocol::line::{self, Sender};
+use granitelead_control_protocol::words::{Document, Down, News, Revision, Up, Word};
+use granitelead_proxy::control::{Change, Control};
+use granitelead_proxy::servers::Servers;
+use granitelead_proxy::sessions::{BATCH, PING, PING_OTHER, SILENCE};
+use granitelead_proxy::Millis;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -15,8 +17,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::task::spawn_local;
-use trunk::line::{self, Sender};
-use trunk::words::{Document, Down, News, Revision, Up, Word};
 
 /// What all gatekeepers of one thread share.
 pub struct Shared {
@@ -233,7 +233,7 @@
         let document = match held {
             Some(held) => held,
             None => {
-                if let Err(faults) = plugboard::configuration::parse(&told.bytes) {
+                if let Err(faults) = granitelead_common::configuration::parse(&told.bytes) {
                     log::error!("a configuration that can't be used: {faults}");
                     return Vec::new();
                 }
--- a/crates/lab/src/hollow/processes.rs
+++ b/crates/lab/src/hollow/processes.rs
@@ -148,11 +148,11 @@
     /// # Errors
     ///
     /// Why there is no process.
-    pub fn crossbar(&self, programs: &Option<PathBuf>, at: &Path) -> Result<Process, FleetError> {
-        let (front, name) = (self.own.crossbar(0), "crossbar".to_owned());
+    pub fn proxy(&self, programs: &Option<PathBuf>, at: &Path) -> Result<Process, FleetError> {
+        let (front, name) = (self.own.proxy(0), "granitelead-proxy".to_owned());
         let readiness = SocketAddr::new(front.ip(), front.port() + 1);
         let listens = format!("front = \"{front}\"\nreadiness = \"{readiness}\"");
-        self.begin(Program::Crossbar, programs, name.clone(), at, |folder| {
+        self.begin(Program::Proxy, programs, name.clone(), at, |folder| {
             self.settings(&name, 0, front, folder, &listens)
         })
     }
--- a/crates/lab/src/hollow/rig.rs
+++ b/crates/lab/src/hollow/rig.rs
@@ -93,7 +93,7 @@
 struct Count {
     at: Instant,
     markers: Vec<Usage>,
-    crossbar: Usage,
+    proxy: Usage,
     own: Usage,
     said: BTreeMap<String, (u64, u64)>,
     came: u64,
@@ -108,7 +108,7 @@
     programs: Option<PathBuf>,
     folder: Folder,
     markers: Vec<Process>,
-    crossbar: Option<Process>,
+    proxy: Option<Process>,
     seen: Arc<Seen>,
     version: u32,
     bar: ProgressBar,
@@ -126,12 +126,12 @@
 
     /// Whether all of it stays within its part of the memory, and runs.
     fn look(&mut self) -> Result<(), Failure> {
-        for process in self.markers.iter_mut().chain(&mut self.crossbar) {
+        for process in self.markers.iter_mut().chain(&mut self.proxy) {
             if let Some((status, false)) = process.ended() {
                 return Err(format!("{} ended: {status}: {}", process.name, process.last_words()).into());
             }
         }
-        let pids = self.markers.iter().chain(&self.crossbar).filter_map(Process::id);
+        let pids = self.markers.iter().chain(&self.proxy).filter_map(Process::id);
         let used: u64 = pids.chain([std::process::id()]).map(resident).sum();
         if used > self.memory_max {
             let (used, most) = (used >> 20, self.memory_max >> 20);
@@ -211,7 +211,7 @@
         Count {
             at: Instant::now(),
             markers: self.markers.iter().map(of).collect(),
-            crossbar: self.crossbar.as_ref().map(of).unwrap_or_default(),
+            proxy: self.proxy.as_ref().map(of).unwrap_or_default(),
             own: usage(std::process::id()),
             said: self.seen.all_said(),
             came: self.seen.all_came(),
@@ -353,9 +353,9 @@
         put(format!("gatekeeper.out.{kind} B/s"), rate);
     }
     put("gatekeeper.out B/s".into(), out);
-    put("gatekeeper.real.processor cores".into(), processor(&after.crossbar, &before.crossbar));
-    put("gatekeeper.real.memory MB".into(), after.crossbar.memory as f64 / 1e6);
-    put("gatekeeper.real.descriptors open".into(), after.crossbar.descriptors as f64);
+    put("gatekeeper.real.processor cores".into(), processor(&after.proxy, &before.proxy));
+    put("gatekeeper.real.memory MB".into(), after.proxy.memory as f64 / 1e6);
+    put("gatekeeper.real.descriptors open".into(), after.proxy.descriptors as f64);
     put(
         "hollow.processor-each cores".into(),
         processor(&after.own, &before.own) / (each + size.servers as f64),
@@ -377,7 +377,7 @@
     let size = rig.size.clone();
     let document = configuration(&size, 1);
     let parsed = Instant::now();
-    plugboard::configuration::parse(document.as_bytes())?;
+    granitelead_common::configuration::parse(document.as_bytes())?;
     figures.insert("configuration.read ms".into(), parsed.elapsed().as_secs_f64() * 1e3);
     figures.insert("configuration.size B".into(), document.len() as f64);
 
@@ -387,7 +387,7 @@
         rig.markers.push(marker);
     }
     rig.change().await?;
-    rig.crossbar = Some(rig.places.crossbar(&rig.programs, &rig.folder.0)?);
+    rig.proxy = Some(rig.places.proxy(&rig.programs, &rig.folder.0)?);
     rig.says(format!("{} servers begin to beat", size.servers));
     rig.start_servers(threads);
     rig.until("all servers have beaten", |seen| seen.servers() >= size.servers).await?;
@@ -454,7 +454,7 @@
 }
 
 async fn end(rig: &mut Rig) {
-    let mut all: Vec<&mut Process> = rig.markers.iter_mut().chain(&mut rig.crossbar).collect();
+    let mut all: Vec<&mut Process> = rig.markers.iter_mut().chain(&mut rig.proxy).collect();
     all.iter_mut().for_each(|process| process.asks_to_stop());
     while all.iter_mut().any(|process| process.runs() && process.ended().is_none()) {
         sleep(Duration::from_millis(20)).await;
@@ -472,7 +472,7 @@
         programs: programs.map(std::fs::canonicalize).transpose()?,
         folder: Folder(folder),
         markers: Vec::new(),
-        crossbar: None,
+        proxy: None,
         seen: Arc::default(),
         version: 0,
         bar,
--- a/crates/lab/src/hollow/size.rs
+++ b/crates/lab/src/hollow/size.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 /// Sessions that a gatekeeper holds, as its own code has it.
-const SESSIONS: usize = crossbar::control::SESSIONS;
+const SESSIONS: usize = granitelead_proxy::control::SESSIONS;
 /// Markers that one knows at once (`KNOWN_MAX` of `marker::core`), and itself.
 const MARKERS_MAX: usize = 65;
 /// Tenants that a marker counts at once (`TENANTS_MAX` of `marker::tally`).
@@ -156,7 +156,7 @@
             let why = "0 to 1000 a second are allowed".into();
             return Err(refusal("requests", self.requests, why, 1));
         }
-        let body = plugboard::configuration::BODY_MAX as u64;
+        let body = granitelead_common::configuration::BODY_MAX as u64;
         if document > body {
             let why = format!(
                 "with {} tenants a configuration of {document} bytes, {body} are taken",
--- a/crates/lab/src/loopback/mod.rs
+++ b/crates/lab/src/loopback/mod.rs
@@ -98,7 +98,7 @@
     }
 
     /// Where a gatekeeper of the system listens.
-    pub fn crossbar(self, number: usize) -> SocketAddr {
+    pub fn proxy(self, number: usize) -> SocketAddr {
         self.at(210, number)
     }
 
--- a/crates/lab/src/loopback/process.rs
+++ b/crates/lab/src/loopback/process.rs
@@ -30,7 +30,7 @@
     /// A marker of the system.
     Marker,
     /// A gatekeeper of the system.
-    Crossbar,
+    Proxy,
 }
 
 impl Program {
@@ -40,7 +40,7 @@
             Program::ListService => vec!["list-service"],
             Program::Double(name) => vec!["double", name],
             Program::Marker => vec!["marker"],
-            Program::Crossbar => vec!["crossbar"],
+            Program::Proxy => vec!["granitelead-proxy"],
         }
     }
 
@@ -51,7 +51,7 @@
             Program::ListService => Some("granitelead-discovery"),
             Program::Double(_) => None,
             Program::Marker => Some("marker"),
-            Program::Crossbar => Some("crossbar"),
+            Program::Proxy => Some("granitelead-proxy"),
         }
     }
 }
@@ -69,7 +69,7 @@
         ["gatekeeper"] => granitelead_gatekeeper::run(),
         ["list-service", ..] => granitelead_list_service::run_with(words[1..].iter().cloned()),
         ["marker"] => marker::start(),
-        ["crossbar"] => crossbar::start(),
+        ["granitelead-proxy"] => granitelead_proxy::start(),
         ["double", name] => super::double::run(name),
         ["file", path, ..] => {
             let error = std::process::Command::new(path).args(&words[2..]).exec();
--- a/crates/lab/src/loopback/system.rs
+++ b/crates/lab/src/loopback/system.rs
@@ -188,7 +188,7 @@
         internal: port.saturating_add(10),
     };
     let mut children = Vec::new();
-    for role in ["marker", "crossbar"] {
+    for role in ["marker", "granitelead-proxy"] {
         let folder = out.join(role);
         let first = !folder.exists();
         std::fs::create_dir_all(&folder)?;
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -112,7 +112,7 @@
 fn configurations_of_any_size_are_good() {
     for (routes, tenants, servers) in [(1, 1, 0), (250, 30, 500)] {
         let size = Size { routes, tenants, servers, ..small() };
-        let read = plugboard::configuration::parse(configuration(&size, 7).as_bytes()).unwrap();
+        let read = granitelead_common::configuration::parse(configuration(&size, 7).as_bytes()).unwrap();
         expect_that!(read.version, eq(7));
         expect_that!(read.tenants.len(), eq(tenants));
         expect_that!(read.hosts.values().map(Vec::len).sum::<usize>(), eq(routes));
--- a/crates/marker/src/agreement.rs
+++ b/crates/marker/src/agreement.rs
@@ -18,11 +18,13 @@
 //! A marker whose folder was lost is another [`Node`]: it has no vote and holds nothing until an epoch names it.
 
 use crate::parts::Keeping;
+use granitelead_control_protocol::ledger::Known;
+use granitelead_control_protocol::words::{
+    Between, Change, Digest, Document, Epoch, Ledger, Node, Number, Whole,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::ledger::Known;
-use trunk::words::{Between, Change, Digest, Document, Epoch, Ledger, Node, Number, Whole};
 
 /// Reads that are being made certain at once; of more the oldest is forgotten, and asked for again.
 const CHECKS_MAX: usize = 512;
--- a/crates/marker/src/calls.rs
+++ b/crates/marker/src/calls.rs
@@ -3,12 +3,12 @@
 use crate::parts::Reply;
 use crate::state::Call;
 use bytes::Bytes;
+use granitelead_common::configuration::BODY_MAX;
+use granitelead_common::kinds::Kind;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, LOCATION, RETRY_AFTER};
 use hyper::{Method, Request, Response};
-use plugboard::configuration::BODY_MAX;
-use plugboard::kinds::Kind;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
--- a/crates/marker/src/core.rs
+++ b/crates/marker/src/core.rs
@@ -10,10 +10,12 @@
 use crate::agreement::{Act, Agreement, Then};
 use crate::duties::Duties;
 use crate::parts::{Keeping, Millis, Output};
+use granitelead_control_protocol::words::{
+    Between, Digest, Document, Duty, Epoch, Ledger, Node, Number, Standing,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Between, Digest, Document, Duty, Epoch, Ledger, Node, Number, Standing};
 
 /// How often a marker says that it is there.
 const HEAR: Millis = 150;
--- a/crates/marker/src/core/hearing.rs
+++ b/crates/marker/src/core/hearing.rs
@@ -3,9 +3,9 @@
 use super::{Core, Heard, BROKE, HEAR, HEARD, HEAR_OUTSIDE, KNOWN_MAX};
 use crate::agreement::most;
 use crate::parts::{Millis, Output};
+use granitelead_control_protocol::words::{Between, Document, Node, Number, Standing};
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
-use trunk::words::{Between, Document, Node, Number, Standing};
 
 impl Core {
     /// All other markers that are known.
--- a/crates/marker/src/core/orders.rs
+++ b/crates/marker/src/core/orders.rs
@@ -7,11 +7,11 @@
 use super::{Asked, Call, Core, CALL, CALLS_MAX, HEARD};
 use crate::agreement::{Act, Orders};
 use crate::parts::{Millis, Output, Reply};
-use plugboard::kinds::Kind;
+use granitelead_common::kinds::Kind;
+use granitelead_control_protocol::ledger::Known;
+use granitelead_control_protocol::words::{Between, Digest, Document};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use trunk::ledger::Known;
-use trunk::words::{Between, Digest, Document};
 
 impl Core {
     pub(super) fn on_safe(&mut self, document: Arc<Document>, out: &mut Vec<Output>) {
--- a/crates/marker/src/core/rounds.rs
+++ b/crates/marker/src/core/rounds.rs
@@ -3,8 +3,8 @@
 use super::{Core, Heard, ALONE, DISK, FINISH, HEAR, LEFT, LOST, SLOW, SLOW_FOR, STANDS_IN, SUSPECT};
 use crate::agreement::{most, Agreement};
 use crate::parts::{Millis, Output};
+use granitelead_control_protocol::words::{Between, Epoch, Node, Number, Standing};
 use std::collections::BTreeSet;
-use trunk::words::{Between, Epoch, Node, Number, Standing};
 
 impl Core {
     pub(super) fn begin_round(&mut self, out: &mut Vec<Output>) {
--- a/crates/marker/src/duties.rs
+++ b/crates/marker/src/duties.rs
@@ -14,8 +14,8 @@
 
 use crate::agreement::most;
 use crate::parts::Millis;
+use granitelead_control_protocol::words::{Duty, Node, Number};
 use std::collections::{BTreeMap, BTreeSet};
-use trunk::words::{Duty, Node, Number};
 
 /// All duties.
 pub const DUTIES: [Duty; 1] = [Duty::Reaper];
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -34,7 +34,7 @@
 
 /// Runs a marker; its exit status.
 pub fn run() -> ExitCode {
-    if let Some(status) = plugboard::command::options("marker", HELP) {
+    if let Some(status) = granitelead_common::command::options("marker", HELP) {
         return status;
     }
     start()
@@ -42,13 +42,13 @@
 
 /// Runs a marker without looking at the command line; its exit status.
 pub fn start() -> ExitCode {
-    let settings = match plugboard::command::begin("marker") {
+    let settings = match granitelead_common::command::begin("marker") {
         Ok(settings) => settings,
         Err(status) => return status,
     };
     let Some(control) = settings.control else {
         eprintln!("marker: settings: listen-addresses.control-plane: missing: an address is expected");
-        return ExitCode::from(plugboard::command::UNUSABLE);
+        return ExitCode::from(granitelead_common::command::UNUSABLE);
     };
     granitelead_base::run(
         "marker",
--- a/crates/marker/src/parts.rs
+++ b/crates/marker/src/parts.rs
@@ -1,10 +1,12 @@
 //! What the parts of a marker share: what they keep, return and answer.
 
-use plugboard::kinds::Kind;
+use granitelead_common::kinds::Kind;
+use granitelead_control_protocol::words::{
+    Between, Document, Down, Duty, Epoch, Instance, Ledger, Node, Number,
+};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Between, Document, Down, Duty, Epoch, Instance, Ledger, Node, Number};
 
 /// Points in time and spans, ms of a clock that never goes back.
 pub type Millis = u64;
--- a/crates/marker/src/pushes.rs
+++ b/crates/marker/src/pushes.rs
@@ -3,9 +3,9 @@
 //! The configurations before the newest are kept as far as [`KEPT`] and [`BYTES`] go, so that whoever is near is told a
 //! change and whoever is far the whole: what it costs to catch up does not grow with how many were missed.
 
+use granitelead_control_protocol::words::{Difference, Document, News, Revision};
 use std::collections::VecDeque;
 use std::sync::Arc;
-use trunk::words::{Difference, Document, News, Revision};
 
 /// Configurations before the newest that are kept: a second's worth, where operators send eight at a time.
 pub const KEPT: usize = 8;
--- a/crates/marker/src/registry.rs
+++ b/crates/marker/src/registry.rs
@@ -3,11 +3,11 @@
 //! Of two words about one life of a server the one with the higher `call-sequence` holds; at the same sequence the
 //! later state does. A life that has deregistered never comes back; one that only fell silent does with its next beat.
 
-use plugboard::kinds::Kind;
-use plugboard::paths::At;
+use granitelead_common::kinds::Kind;
+use granitelead_common::paths::At;
+use granitelead_control_protocol::words::{Instance, State};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
-use trunk::words::{Instance, State};
 
 use crate::parts::Millis;
 
--- a/crates/marker/src/repair.rs
+++ b/crates/marker/src/repair.rs
@@ -6,9 +6,9 @@
 //! kept: they would count at the time of their handing over, long after what they were for.
 
 use crate::parts::Millis;
+use granitelead_control_protocol::words::Instance;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
-use trunk::words::Instance;
 
 /// Ends that are kept for one marker; the oldest are dropped, and silence ends those servers there.
 pub const KEPT_MAX: usize = 1_000;
@@ -104,7 +104,7 @@
 mod tests {
     use super::*;
     use googletest::prelude::*;
-    use trunk::words::State;
+    use granitelead_control_protocol::words::State;
 
     fn ended(n: usize) -> Instance {
         Instance {
--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -6,11 +6,13 @@
 use crate::state::{Call, Marker};
 use crate::store::{self, Found, Job, Store};
 use granitelead_base::Backoff;
+use granitelead_common::settings::{self, Settings};
+use granitelead_control_protocol::line::{self, Sender};
+use granitelead_control_protocol::words::Word;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::Request;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use plugboard::settings::{self, Settings};
 use snafu::{ResultExt, Snafu};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -23,8 +25,6 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use trunk::line::{self, Sender};
-use trunk::words::Word;
 
 /// How often the state machine looks at the time.
 const TICK: Duration = Duration::from_millis(25);
@@ -245,7 +245,8 @@
             exchange.calls.borrow_mut().insert(id, send);
             exchange.step(|marker, now, out| marker.on_call(now, id, call, out));
             let reply = answer.await;
-            let reply = reply.unwrap_or_else(|_| Reply::fault(plugboard::kinds::Kind::Internal, "no answer"));
+            let reply = reply
+                .unwrap_or_else(|_| Reply::fault(granitelead_common::kinds::Kind::Internal, "no answer"));
             if asks {
                 with_counts(reply, &exchange.said)
             } else {
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -2,10 +2,10 @@
 
 use crate::parts::{Millis, Output, SessionId};
 use crate::pushes::Pushes;
+use granitelead_control_protocol::words::{Document, Down, Instance, News, Revision};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::words::{Document, Down, Instance, News, Revision};
 
 /// How long a server's call may wait until all know what it says; servers wait a second for their answer.
 const KNOWN: Millis = 550;
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -6,11 +6,11 @@
 use crate::repair::Repair;
 use crate::sessions::{Sessions, Waiter};
 use crate::tally::Tally;
-use plugboard::configuration;
-use plugboard::kinds::Kind;
+use granitelead_common::configuration;
+use granitelead_common::kinds::Kind;
+use granitelead_control_protocol::words::{Between, Document, Down, Duty, Instance, News, Node, State, Up};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
-use trunk::words::{Between, Document, Down, Duty, Instance, News, Node, State, Up};
 
 /// How often totals go out, and what servers have beaten here.
 const TOTALS: Millis = 50;
--- a/crates/marker/src/store.rs
+++ b/crates/marker/src/store.rs
@@ -8,6 +8,7 @@
 //! is the one content known, and of the numbers below that nothing is.
 
 use crate::parts::Keeping;
+use granitelead_control_protocol::words::{Digest, Document, Epoch, Instance, Ledger};
 use rusqlite::{params, Connection, ErrorCode, OptionalExtension};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -16,7 +17,6 @@
 use std::sync::mpsc;
 use std::sync::Arc;
 use std::time::Duration;
-use trunk::words::{Digest, Document, Epoch, Instance, Ledger};
 
 /// The form of the folder. Another form is not read.
 const FORM: i64 = 2;
--- a/crates/marker/tests/common/world.rs
+++ b/crates/marker/tests/common/world.rs
@@ -9,13 +9,13 @@
 
 #![allow(dead_code)] // Each file of tests uses a part.
 
+use granitelead_common::kinds::Kind;
+use granitelead_control_protocol::words::{Between, Document, Node, Number};
 use marker::core::{begin, Core};
 use marker::parts::{Keeping, Output, Reply};
-use plugboard::kinds::Kind;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::Ipv4Addr;
-use trunk::words::{Between, Document, Node, Number};
 
 /// What drawn schedules do to a marker, and what ends it.
 pub const FAULTS: [(&str, &str); 7] = [
--- a/crates/marker/tests/core.rs
+++ b/crates/marker/tests/core.rs
@@ -4,10 +4,10 @@
 
 use common::world::{ip, play, play_with, Call, Clear, World, FAULTS};
 use googletest::prelude::*;
+use granitelead_control_protocol::words::{Between, Number};
 use marker::core::{begin, Core};
 use marker::parts::Output;
 use std::net::Ipv4Addr;
-use trunk::words::{Between, Number};
 
 #[gtest]
 fn a_configuration_is_taken_at_any_marker_and_read_at_any() {
--- a/crates/marker/tests/history.rs
+++ b/crates/marker/tests/history.rs
@@ -7,14 +7,14 @@
 
 use common::world::{Event, World};
 use googletest::prelude::*;
+use granitelead_control_protocol::frames;
+use granitelead_control_protocol::words::{Between, Document, Revision, Word};
 use marker::core::begin;
 use marker::parts::Keeping;
 use marker::store::Store;
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use trunk::frames;
-use trunk::words::{Between, Document, Revision, Word};
 
 /// Bytes of a configuration of a small site, about.
 const SIZE: usize = 8_000;
--- a/crates/marker/tests/model.rs
+++ b/crates/marker/tests/model.rs
@@ -9,6 +9,8 @@
 //!
 //! Each rule has a variant that breaks it, by tampering with what goes in or comes out, and is caught.
 
+use granitelead_control_protocol::ledger::Known;
+use granitelead_control_protocol::words::{Between, Digest, Document, Epoch, Ledger, Node, Number, Whole};
 use marker::agreement::{Act, Agreement, Orders, Then};
 use marker::core::begin;
 use marker::parts::Keeping;
@@ -16,8 +18,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trunk::ledger::Known;
-use trunk::words::{Between, Digest, Document, Epoch, Ledger, Node, Number, Whole};
 
 /// How a round changes the core, if it may.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/marker/tests/orders.rs
+++ b/crates/marker/tests/orders.rs
@@ -5,9 +5,9 @@
 
 use common::world::{Asked, Call, Clear, Seen, World, FAULTS};
 use googletest::prelude::*;
+use granitelead_control_protocol::words::{Between, Ledger};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
-use trunk::words::{Between, Ledger};
 
 /// Calls of operators that are under way at once.
 const AT_ONCE: usize = 8;
--- a/crates/marker/tests/pushes.rs
+++ b/crates/marker/tests/pushes.rs
@@ -1,10 +1,10 @@
 //! What waits on sessions for gatekeepers that take in slowly, and for those that there is no room for.
 
 use googletest::prelude::*;
+use granitelead_control_protocol::words::{Document, Down, News, Revision};
 use marker::parts::Output;
 use marker::sessions::{Sessions, SESSIONS_MAX};
 use std::sync::Arc;
-use trunk::words::{Document, Down, News, Revision};
 
 fn document(version: u32) -> Arc<Document> {
     Arc::new(Document { version, bytes: version.to_be_bytes().repeat(2_000) })
--- a/crates/marker/tests/store.rs
+++ b/crates/marker/tests/store.rs
@@ -1,6 +1,8 @@
 //! The folder of a marker: how it keeps which content each number stands for.
 
 use googletest::prelude::*;
+use granitelead_control_protocol::ledger::{Known, NUMBERS_MAX};
+use granitelead_control_protocol::words::{Digest, Document, Ledger};
 use marker::core::begin;
 use marker::parts::Keeping;
 use marker::store::Store;
@@ -8,8 +10,6 @@
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
-use trunk::ledger::{Known, NUMBERS_MAX};
-use trunk::words::{Digest, Document, Ledger};
 
 /// A folder of a test, gone with it.
 struct Folder(PathBuf);
--- a/crates/crossbar/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -8,9 +8,9 @@
 //! configurations are newer by their number, and a server that leaves does so, whoever tells it: they are taken from all.
 
 use crate::Millis;
+use granitelead_control_protocol::words::{Difference, Document, Down, Instance, News, Revision, State, Up};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
-use trunk::words::{Difference, Document, Down, Instance, News, Revision, State, Up};
 
 /// Sessions at once.
 pub const SESSIONS: usize = 3;
--- a/crates/crossbar/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -8,14 +8,14 @@
 use crate::servers::Servers;
 use crate::tenants::Tenants;
 use crate::Millis;
+use granitelead_common::configuration::{self, Configuration, Route};
+use granitelead_common::kinds::Kind;
+use granitelead_common::settings::Bounds;
+use granitelead_control_protocol::words::{Document, Down, Revision, Up};
 use hyper::header::{HeaderMap, AUTHORIZATION};
-use plugboard::configuration::{self, Configuration, Route};
-use plugboard::kinds::Kind;
-use plugboard::settings::Bounds;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
-use trunk::words::{Document, Down, Revision, Up};
 
 /// Time that is kept of a request's for its answer to reach the client.
 const MARGIN: Millis = 5;
--- a/crates/crossbar/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -6,12 +6,12 @@
 use crate::messages::ResponseBody;
 use crate::pool::names;
 use bytes::Bytes;
+use granitelead_common::kinds::Kind;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HOST};
 use hyper::http::request::Parts;
 use hyper::Response;
-use plugboard::kinds::Kind;
 use std::cell::Cell;
 use std::time::Duration;
 
--- a/crates/crossbar/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -33,9 +33,9 @@
 pub type Millis = u64;
 
 const HELP: &str = "\
-crossbar: the data plane of granitelead
+granitelead-proxy: the data plane of granitelead
 
-USAGE: crossbar [--help | --version]
+USAGE: granitelead-proxy [--help | --version]
 
 Reads the settings file that GRANITELEAD_NODE_FILE names (/etc/granitelead/node.toml without it). SIGHUP reads it
 again, SIGTERM answers what is under way and ends. The log is a ring in memory, written to standard error when
@@ -43,11 +43,11 @@
 
 EXIT STATUS: 0 after SIGTERM, 1 when it can't go on, 2 for settings or a command line that can't be used
 
-EXAMPLE: GRANITELEAD_NODE_FILE=/etc/granitelead/node.toml crossbar";
+EXAMPLE: GRANITELEAD_NODE_FILE=/etc/granitelead/node.toml granitelead-proxy";
 
 /// Runs a gatekeeper; its exit status.
 pub fn run() -> ExitCode {
-    if let Some(status) = plugboard::command::options("crossbar", HELP) {
+    if let Some(status) = granitelead_common::command::options("granitelead-proxy", HELP) {
         return status;
     }
     start()
@@ -55,16 +55,16 @@
 
 /// Runs a gatekeeper without looking at the command line; its exit status.
 pub fn start() -> ExitCode {
-    let settings = match plugboard::command::begin("crossbar") {
+    let settings = match granitelead_common::command::begin("granitelead-proxy") {
         Ok(settings) => settings,
         Err(status) => return status,
     };
     let (Some(front), Some(readiness)) = (settings.front, settings.readiness) else {
-        eprintln!("crossbar: settings: listen-addresses: front and readiness are expected");
-        return ExitCode::from(plugboard::command::UNUSABLE);
+        eprintln!("granitelead-proxy: settings: listen-addresses: front and readiness are expected");
+        return ExitCode::from(granitelead_common::command::UNUSABLE);
     };
     granitelead_base::run(
-        "crossbar",
+        "granitelead-proxy",
         || Ok::<_, Infallible>(settings),
         |settings| run::serve(settings, front, readiness),
     )
--- a/crates/crossbar/src/request_state.rs
+++ b/crates/proxy/src/request_state.rs
@@ -5,8 +5,8 @@
 
 use crate::servers::Sign;
 use crate::Millis;
-use plugboard::configuration::Repeats;
-use plugboard::kinds::Kind;
+use granitelead_common::configuration::Repeats;
+use granitelead_common::kinds::Kind;
 use std::rc::Rc;
 
 /// Time that must be left of a request's for another try to be worth it, in parts of a usual answer.
--- a/crates/crossbar/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -8,7 +8,7 @@
 use crate::pool::ConnectionPool;
 use crate::sessions::Sessions;
 use crate::shutdown::shut_down;
-use plugboard::settings::{self, Settings};
+use granitelead_common::settings::{self, Settings};
 use snafu::{ResultExt, Snafu};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -88,7 +88,10 @@
         () = look_after(&front, &connections, hang_up) => {}
     }
     let report = shut_down(&front, &connections, &stop_accepting, settings.bounds.grace).await;
-    plugboard::logs::write_line(&format!("crossbar: ends: {report}; broken off: {}", front.break_offs));
+    granitelead_common::logs::write_line(&format!(
+        "granitelead-proxy: ends: {report}; broken off: {}",
+        front.break_offs
+    ));
     Ok(())
 }
 
--- a/crates/crossbar/src/servers.rs
+++ b/crates/proxy/src/servers.rs
@@ -4,9 +4,9 @@
 //! compared with its service, what is under way there from here, and whether it failed.
 
 use crate::Millis;
+use granitelead_control_protocol::words::{Instance, State};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use trunk::words::{Instance, State};
 
 /// How much better a server of another zone must look: what others have under way there is seen least of all. More saves
 /// further bytes where servers have six slots, and makes answers late where they have two (measured: 1.3 to 2.2).
--- a/crates/crossbar/src/sessions.rs
+++ b/crates/proxy/src/sessions.rs
@@ -2,14 +2,14 @@
 
 use crate::front::Front;
 use granitelead_base::Backoff;
+use granitelead_control_protocol::line::{self, Sender};
+use granitelead_control_protocol::words::{Down, Up, Word};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
-use trunk::line::{self, Sender};
-use trunk::words::{Down, Up, Word};
 
 /// How often what was let in is reported, and sessions are looked after.
 pub const BATCH: Duration = Duration::from_millis(50);
--- a/crates/crossbar/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -4,8 +4,8 @@
 //! and those that miss it leave that part to it: on both sides of a cut together the quota holds.
 
 use crate::Millis;
+use granitelead_common::configuration::Tenant;
 use granitelead_decisions::{Customer, CustomerId, Plan};
-use plugboard::configuration::Tenant;
 use std::collections::HashMap;
 
 /// Tenants in the table; the write-up's 100k.
--- a/crates/crossbar/tests/caller.rs
+++ b/crates/proxy/tests/caller.rs
@@ -6,10 +6,10 @@
 
 mod support;
 
-use crossbar::pool::ConnectionPool;
-use crossbar::request_state::Outcome;
 use googletest::prelude::*;
-use plugboard::configuration::Repeats;
+use granitelead_common::configuration::Repeats;
+use granitelead_proxy::pool::ConnectionPool;
+use granitelead_proxy::request_state::Outcome;
 use proptest::collection::vec;
 use proptest::prelude::{any, prop_oneof, Just, Strategy};
 use proptest::test_runner::{Config, RngSeed, TestRunner};
--- a/crates/crossbar/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -23,18 +23,18 @@
 // Each file of tests uses its part of it.
 #![allow(dead_code)]
 
-use crossbar::control::Control;
-use crossbar::gate::Gate;
+use granitelead_common::configuration::Tenant;
+use granitelead_common::settings::Bounds;
+use granitelead_control_protocol::words::{Between, Down, Instance, News, Node, State, Up, Word};
+use granitelead_proxy::control::Control;
+use granitelead_proxy::gate::Gate;
 use marker::core::{begin, Core};
 use marker::parts::{Keeping, Output, Reply};
 use marker::state::{Call, Marker};
-use plugboard::configuration::Tenant;
-use plugboard::settings::Bounds;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::time::Duration;
-use trunk::words::{Between, Down, Instance, News, Node, State, Up, Word};
 
 pub const RATE: f64 = 100.0;
 /// Those who call markers, as ends of links.
@@ -397,7 +397,7 @@
             let Some(m) = self.board(ip) else { continue };
             let Some((id, _)) = self.columns[g].sessions.get(&ip).copied() else { continue };
             if self.weighs {
-                self.bytes.1 += trunk::frames::write(&Word::Up(word.clone())).len();
+                self.bytes.1 += granitelead_control_protocol::frames::write(&Word::Up(word.clone())).len();
             }
             let start = self.boards[m].start;
             self.at(1, Event::Up(g, m, start, id, word));
@@ -413,7 +413,9 @@
             match output {
                 Output::Send(to, word) => {
                     if self.weighs {
-                        self.between += trunk::frames::write(&Word::Between(me, word.clone())).len();
+                        self.between +=
+                            granitelead_control_protocol::frames::write(&Word::Between(me, word.clone()))
+                                .len();
                     }
                     let Some(to) = self.board(to) else { continue };
                     let line = self.lines.entry((n, to)).or_default();
@@ -424,7 +426,8 @@
                 }
                 Output::Tell(id, word) => {
                     if self.weighs {
-                        self.bytes.0 += trunk::frames::write(&Word::Down(word.clone())).len();
+                        self.bytes.0 +=
+                            granitelead_control_protocol::frames::write(&Word::Down(word.clone())).len();
                     }
                     if let Some((g, _)) = self.boards[n].sessions.get(&id).copied() {
                         let start = self.columns[g].start;
--- a/crates/crossbar/tests/contact.rs
+++ b/crates/proxy/tests/contact.rs
@@ -5,9 +5,9 @@
 
 use common::{beat, configuration, play, status, World};
 use googletest::prelude::*;
+use granitelead_control_protocol::words::State;
 use marker::parts::Reply;
 use marker::state::Call;
-use trunk::words::State;
 
 /// Cut off both ways, with a change half held, the one that answered operators: it confirms neither that nor anything else, the
 /// rest goes on, and 2 s after its return it is as they are.
--- a/crates/crossbar/tests/history.rs
+++ b/crates/proxy/tests/history.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::World;
-use crossbar::control::Change;
 use googletest::prelude::*;
+use granitelead_control_protocol::words::{Difference, Document, Up};
+use granitelead_proxy::control::Change;
 use marker::state::Call;
-use trunk::words::{Difference, Document, Up};
 
 /// What a long history asks of the world.
 trait Long {
--- a/crates/crossbar/tests/shutdown.rs
+++ b/crates/proxy/tests/shutdown.rs
@@ -3,9 +3,9 @@
 
 mod support;
 
-use crossbar::break_offs::BreakOff;
-use crossbar::shutdown::ShutdownReport;
 use googletest::prelude::*;
+use granitelead_proxy::break_offs::BreakOff;
+use granitelead_proxy::shutdown::ShutdownReport;
 use proptest::collection::vec;
 use proptest::prelude::{any, prop_oneof, Just, Strategy};
 use proptest::test_runner::{Config, RngSeed, TestRunner};
@@ -17,7 +17,8 @@
 use support::server::{good_after, Act, Arrival, End, Reply, Servers};
 use support::{configuration, hear, turns, Gatekeeper, Heard, GRACE};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, Instant};
 
@@ -356,6 +357,30 @@
     });
 }
 
+#[gtest]
+fn those_that_wait_in_the_queue_are_accepted_before_the_listener_goes() {
+    in_virtual_time(async {
+        let servers = Rc::new(Servers::default());
+        let addresses = servers.start(1).await;
+        let front = Gatekeeper::front(configuration(TIMEOUT, 1), &addresses, 7);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut waiting = Vec::new();
+        for n in 0..8 {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(request("safe", &format!("id-{n}"), 2_000).as_bytes()).await.unwrap();
+            waiting.push(stream);
+        }
+        let stop = Rc::new(Notify::new());
+        stop.notify_one();
+        Gatekeeper::accept(&front, &Rc::default(), listener, &stop).await;
+        for (n, mut stream) in waiting.into_iter().enumerate() {
+            let heard = hear(&mut stream, &mut Vec::new()).await;
+            expect_that!(heard.map(|heard| heard.status), some(eq(200)), "connection {n}");
+        }
+    });
+}
+
 #[gtest]
 fn the_process_waits_until_a_slow_client_has_read_its_answer() {
     in_virtual_time(async {
--- a/crates/crossbar/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -4,14 +4,16 @@
 
 pub mod server;
 
-use crossbar::connections::ClientConnections;
-use crossbar::control::{Change, Control};
-use crossbar::front::Front;
-use crossbar::gate::Gate;
-use crossbar::listeners::accept_clients;
-use crossbar::pool::ConnectionPool;
-use crossbar::shutdown::{shut_down, ShutdownReport};
-use plugboard::settings::Bounds;
+use granitelead_common::settings::Bounds;
+use granitelead_control_protocol::words::{Document, Instance, State};
+use granitelead_proxy::connections::ClientConnections;
+use granitelead_proxy::control::{Change, Control};
+use granitelead_proxy::front::Front;
+use granitelead_proxy::gate::Gate;
+use granitelead_proxy::listeners::accept_clients;
+use granitelead_proxy::pool::ConnectionPool;
+use granitelead_proxy::shutdown::{shut_down, ShutdownReport};
+use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +22,6 @@
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::timeout;
-use trunk::words::{Document, Instance, State};
 
 /// Time from SIGTERM to SIGKILL.
 pub const GRACE: Duration = Duration::from_secs(6);
@@ -73,6 +74,27 @@
 impl Gatekeeper {
     /// Starts one that knows this configuration and these servers.
     pub async fn start(configuration: Vec<u8>, servers: &[SocketAddr], seed: u64) -> Gatekeeper {
+        let front = Gatekeeper::front(configuration, servers, seed);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (connections, stop_accepting) = (Rc::new(ClientConnections::default()), Rc::new(Notify::new()));
+        let accepting = Gatekeeper::accept(&front, &connections, listener, &stop_accepting);
+        spawn_local(accepting);
+        Gatekeeper { front, connections, address, stop_accepting }
+    }
+
+    /// Accepts clients until it is told to stop.
+    pub fn accept(
+        front: &Rc<Front>,
+        connections: &Rc<ClientConnections>,
+        listener: TcpListener,
+        stop: &Rc<Notify>,
+    ) -> impl Future<Output = ()> {
+        accept_clients(front.clone(), connections.clone(), listener, CONNECTIONS, stop.clone())
+    }
+
+    /// One without a listener.
+    pub fn front(configuration: Vec<u8>, servers: &[SocketAddr], seed: u64) -> Rc<Front> {
         let mut gate = Gate::new(Control::new("g", "a", Vec::new(), seed), "a", &bounds(), seed);
         let marker = Ipv4Addr::LOCALHOST;
         let document = Document { version: 1, bytes: configuration };
@@ -81,19 +103,7 @@
         let servers = servers.iter().enumerate().map(|(n, address)| instance(n, *address)).collect();
         gate.take(0, marker, Change::Servers(servers));
         gate.take(0, marker, Change::Whole);
-        let front = Rc::new(Front::new(gate, ConnectionPool::new(CONNECTIONS), 1 << 20));
-        let connections = Rc::new(ClientConnections::default());
-        let stop_accepting = Rc::new(Notify::new());
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        spawn_local(accept_clients(
-            front.clone(),
-            connections.clone(),
-            listener,
-            CONNECTIONS,
-            stop_accepting.clone(),
-        ));
-        Gatekeeper { front, connections, address, stop_accepting }
+        Rc::new(Front::new(gate, ConnectionPool::new(CONNECTIONS), 1 << 20))
     }
 
     /// What SIGTERM does, until the process would end.
--- a/src/bin/crossbar.rs
+++ b/src/bin/granitelead-proxy.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    crossbar::run()
+    granitelead_proxy::run()
 }
