Answer what is read on a connection that is to close, for a second

Ruled out: closing idle connections at once: a request on its way meets the close. Taking whatever comes: a client that always sends on stays. Change: the answer behind which nothing has been read closes; after 1 s from the request to close nothing more is taken.

--- a/crates/proxy/src/connections.rs
+++ b/crates/proxy/src/connections.rs
@@ -2,8 +2,9 @@
 //!
 //! A connection that is to close first answers every request that it has read: the requests behind the one that is
 //! being answered may be at servers already. Each way to close a connection (idle for too long, a head that takes too
-//! long, too many connections, the end of the process) goes through [`ClientConnection::request_close`], which decides
-//! after which request it closes.
+//! long, too many connections, the end of the process) goes through [`ClientConnection::request_close`]. From then on
+//! the answer behind which nothing has been read closes it; after `CLOSE_WINDOW` nothing more is taken, so that a
+//! client that always sends on is led away too.
 
 use crate::pipeline::{EarlyWork, Pipeline, StartEarly};
 use hyper::http::request::Parts;
@@ -22,6 +23,9 @@
 const COMFORTABLE: usize = 160;
 const EVICTABLE_AFTER: Duration = Duration::from_millis(1_500);
 
+/// How long a connection that is to close still takes requests that come behind others.
+const CLOSE_WINDOW: Duration = Duration::from_secs(1);
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -39,7 +43,9 @@
     /// Requests that the HTTP library has handed over.
     started: Cell<u64>,
     pipeline: RefCell<Pipeline>,
-    /// The connection closes after the answer to this many requests.
+    /// Since when it is to close.
+    closing_since: Cell<Option<Instant>>,
+    /// Once nothing more is taken: it closes after the answer to this many requests.
     closes_after: Cell<Option<u64>>,
     close_now: Notify,
     /// The last request was answered before its body was read to its end.
@@ -52,6 +58,7 @@
             phase: Cell::new(Phase::Idle(Instant::now())),
             started: Cell::new(0),
             pipeline: RefCell::default(),
+            closing_since: Cell::new(None),
             closes_after: Cell::new(None),
             close_now: Notify::new(),
             body_unread: Cell::new(false),
@@ -62,11 +69,7 @@
     pub fn begin(self: &Rc<Self>) -> OngoingRequest {
         self.phase.set(Phase::Busy);
         self.started.set(self.started.get() + 1);
-        let ongoing = OngoingRequest { connection: self.clone(), number: self.started.get() };
-        if ongoing.is_last() {
-            self.close_now.notify_one();
-        }
-        ongoing
+        OngoingRequest { connection: self.clone(), number: self.started.get() }
     }
 
     /// The work on the request that has just begun, if it was started early.
@@ -75,8 +78,9 @@
         self.pipeline.borrow_mut().take(place, parts)
     }
 
-    /// Bytes have come. Pipelined requests among them are started early, unless the connection is about to close.
+    /// Bytes have come. Pipelined requests among them are started early, unless the connection takes none any more.
     pub fn on_bytes(&self, bytes: &[u8], start_early: &StartEarly) {
+        let last = self.last_request();
         if matches!(self.phase.get(), Phase::Idle(_)) {
             self.phase.set(Phase::Head(Instant::now()));
         }
@@ -84,8 +88,8 @@
         for (place, parts) in pipeline.feed(bytes) {
             let is_next = place == self.started.get() && self.phase.get() != Phase::Busy;
             let is_past = place < self.started.get();
-            let is_closing = self.closes_after.get().is_some();
-            if is_next || is_past || is_closing || pipeline.early_count() >= EARLY_MAX {
+            let is_taken = last.is_none_or(|last| place < last);
+            if is_next || is_past || !is_taken || pipeline.early_count() >= EARLY_MAX {
                 continue;
             }
             if let Some(work) = start_early(&parts) {
@@ -94,26 +98,34 @@
         }
     }
 
-    /// Has the connection close after the last request that it has read, or, if none is waiting for its answer, after
-    /// the next one. One that is idle closes at once if it has been so for `patience`.
+    /// Has the connection close once every request that it has read is answered. One that is idle closes at once if it
+    /// has been so for `patience`.
     pub fn request_close(&self, patience: Duration) {
-        let started = self.started.get();
-        let is_answering = self.phase.get() == Phase::Busy || self.has_waiting_requests();
-        let last = if is_answering { self.read().max(started) } else { started + 1 };
-        let last = self.closes_after.get().unwrap_or(last);
-        self.closes_after.set(Some(last));
-        let is_done = match self.phase.get() {
-            Phase::Busy => started >= last,
+        if self.closing_since.get().is_none() {
+            self.closing_since.set(Some(Instant::now()));
+        }
+        let is_idle = match self.phase.get() {
+            Phase::Busy => false,
             Phase::Idle(since) | Phase::Head(since) => {
                 !self.has_waiting_requests() && since.elapsed() >= patience
             }
         };
-        if is_done {
+        if is_idle {
             self.close_now.notify_one();
         }
     }
 
-    /// Completes when nothing but the request under way, if there is one, is to be answered before the close.
+    /// The number of the last request that is taken, once no more are.
+    fn last_request(&self) -> Option<u64> {
+        let since = self.closing_since.get()?;
+        if self.closes_after.get().is_none() && since.elapsed() >= CLOSE_WINDOW {
+            // One that comes to an idle connection is taken as long as that stands.
+            self.closes_after.set(Some(self.read().max(self.started.get() + 1)));
+        }
+        self.closes_after.get()
+    }
+
+    /// Completes when the connection is to close at once, or after the request that has just begun.
     pub async fn close_is_due(&self) {
         self.close_now.notified().await;
     }
@@ -129,7 +141,7 @@
     }
 
     fn is_closing(&self) -> bool {
-        self.closes_after.get().is_some()
+        self.closing_since.get().is_some()
     }
 
     /// Requests whose whole heads have been read.
@@ -150,9 +162,11 @@
 }
 
 impl OngoingRequest {
-    /// Whether the connection closes after its answer.
+    /// Whether the connection closes after its answer, if that is given now.
     pub fn is_last(&self) -> bool {
-        self.connection.closes_after.get().is_some_and(|last| self.number >= last)
+        let connection = &self.connection;
+        let is_past_window = connection.last_request().is_some_and(|last| self.number >= last);
+        connection.is_closing() && (connection.read() <= self.number || is_past_window)
     }
 }
 
