Let a connection that makes room for another not linger

Ruled out: giving the place up while the socket lingers: descriptors are what the places bound. Change: one that is told to make room idles, so no answer is on its way: it is closed at once, and one that lingers is ended.

--- a/crates/gatekeeper/src/clients/side.rs
+++ b/crates/gatekeeper/src/clients/side.rs
@@ -58,6 +58,9 @@
     busy: Cell<bool>,
     in_head: Cell<bool>,
     framing: RefCell<Framing>,
+    /// Whether it lingers behind its last answer, and whether it makes room and so must not.
+    lingers: Cell<bool>,
+    yields: Cell<bool>,
     /// Asks for an end between two requests, or at once.
     close: Notify,
     end: Notify,
@@ -126,6 +129,10 @@
         let this = self.get_mut();
         if this.linger.is_none() {
             ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            if this.client.yields.get() {
+                return Poll::Ready(Ok(()));
+            }
+            this.client.lingers.set(true);
         }
         this.linger.get_or_insert_with(|| Linger::new(false)).poll(cx, &mut this.stream)
     }
@@ -469,6 +476,8 @@
             busy: Cell::default(),
             in_head: Cell::default(),
             framing: RefCell::default(),
+            lingers: Cell::new(false),
+            yields: Cell::new(false),
             close: Notify::new(),
             end: Notify::new(),
         });
@@ -525,11 +534,14 @@
             ended = conn.as_mut() => return drop(ended),
             () = client.end.notified() => return,
             () = client.close.notified() => {
-                // One that makes room may hang in the middle of a head.
+                let makes_room = self.mode.get() != Mode::Stopping && !self.retired.get();
+                // One that makes room may hang in the middle of a head, or linger.
                 let between = self.manager.borrow().is_between(number);
-                if !between && self.mode.get() != Mode::Stopping && !self.retired.get() {
+                if makes_room && (!between || client.lingers.get()) {
                     return;
                 }
+                // It idles: no answer is on its way that a reset could destroy.
+                client.yields.set(makes_room);
                 conn.as_mut().graceful_shutdown()
             }
         }
