--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -121,6 +121,8 @@
     /// Longest time until a line that broke is dialled again, ms; and whether servers are kept on disk.
     pub redial: u64,
     pub keeps_servers: bool,
+    /// Whether a gatekeeper refuses requests until it has a configuration, as `Gate::admit` does.
+    pub needs_configuration: bool,
     rng: fastrand::Rng,
 }
 
@@ -215,6 +217,7 @@
             beats: BTreeSet::new(),
             redial: 0,
             keeps_servers: false,
+            needs_configuration: false,
             rng: fastrand::Rng::with_seed(seed),
         }
     }
@@ -553,6 +556,10 @@
         let tenant = Tenant { name: "t".into(), priority: None, rate: RATE, burst: RATE };
         while column.owed >= 1.0 {
             column.owed -= 1.0;
+            if self.needs_configuration && gate.configuration.is_none() {
+                self.refused += 1;
+                continue;
+            }
             if gate.tenants.beyond(now, &tenant).is_none() {
                 gate.control.add("t");
                 self.ran.push(now);
