Show what decides on a tenant's next request, as figures at the readiness address

Ruled out: the ring of the log (it is written out when something goes wrong, and a broken quota looks like nothing wrong to each process). Change: Tenants::standing, busiest and membership; GET /metrics at the readiness address, 32 tenants at the most.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod handler;
 pub mod listeners;
 pub mod messages;
+pub mod metrics;
 pub mod pipeline;
 pub mod pool;
 pub mod request_state;
--- a/crates/proxy/src/listeners.rs
+++ b/crates/proxy/src/listeners.rs
@@ -4,8 +4,10 @@
 use crate::connections::{ClientConnections, ConnectionSlot};
 use crate::front::Front;
 use crate::handler::answer;
+use crate::metrics;
+use bytes::Bytes;
 use granitelead_base::{set_user_timeout, ACCEPT_PAUSE};
-use http_body_util::Empty;
+use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
@@ -128,13 +130,15 @@
 
 async fn answer_readiness(front: Rc<Front>, stream: TcpStream) {
     let service = service_fn(move |request: Request<Incoming>| {
-        let is_ready = front.gate.borrow().is_ready();
-        let mut response = Response::new(Empty::<bytes::Bytes>::new());
-        *response.status_mut() = match (request.uri().path(), is_ready) {
-            ("/readiness", true) => StatusCode::OK,
-            ("/readiness", false) => StatusCode::SERVICE_UNAVAILABLE,
-            _ => StatusCode::NOT_FOUND,
+        let gate = front.gate.borrow();
+        let (status, body) = match (request.uri().path(), gate.is_ready()) {
+            ("/readiness", true) => (StatusCode::OK, String::new()),
+            ("/readiness", false) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+            ("/metrics", _) => (StatusCode::OK, metrics::text(&gate)),
+            _ => (StatusCode::NOT_FOUND, String::new()),
         };
+        let mut response = Response::new(Full::new(Bytes::from(body)));
+        *response.status_mut() = status;
         async { Ok::<_, Infallible>(response) }
     });
     let serving =
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -44,6 +44,9 @@
     fresh: bool,
     /// Let in here and by the others, of late.
     lately: (f64, f64),
+    /// Let in, and refused, by this process.
+    admitted: u64,
+    refused: u64,
 }
 
 impl Entry {
@@ -59,9 +62,16 @@
             heard: now,
             fresh: false,
             lately: (0.0, 0.0),
+            admitted: 0,
+            refused: 0,
         }
     }
 
+    fn standing(&self) -> Standing {
+        let (admitted, refused) = (self.admitted, self.refused);
+        Standing { admitted, refused, level: self.customer.left(), room: self.room }
+    }
+
     /// The part of the store that may be taken here: half by what was let in here of all, half even, so that whoever
     /// had much does not keep the others from having any.
     fn share(&self, gatekeepers: f64) -> f64 {
@@ -81,6 +91,30 @@
     }
 }
 
+/// What decides on a tenant's next request here, for the figures and for tests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /// Requests let in by this process.
+    pub admitted: u64,
+    /// Requests refused by this process.
+    pub refused: u64,
+    /// Requests that are left for all gatekeepers of the pool, as far as known here.
+    pub level: f64,
+    /// Requests that may be let in here until the others are heard of again.
+    pub room: f64,
+}
+
+/// How a gatekeeper takes part in all quotas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Membership {
+    /// Gatekeepers that share each quota.
+    pub gatekeepers: u32,
+    /// How many of them are not heard.
+    pub missed: u32,
+    /// Whether what the others let in is known.
+    pub in_touch: bool,
+}
+
 /// All tenants as one gatekeeper counts them.
 pub struct Tenants {
     table: HashMap<String, Entry>,
@@ -175,7 +209,10 @@
         if wait.is_none() && !entry.has_room(now, &plan, n) {
             wait = Some(ROOM * 1_000);
         }
-        if wait.is_none() {
+        if wait.is_some() {
+            entry.refused += 1;
+        } else {
+            entry.admitted += 1;
             entry.customer.take(1.0);
             entry.room -= 1.0;
             entry.unheard += 1;
@@ -203,6 +240,24 @@
         }
     }
 
+    /// How it takes part in all quotas.
+    pub fn membership(&self) -> Membership {
+        Membership { gatekeepers: self.gatekeepers, missed: self.missed, in_touch: self.in_touch }
+    }
+
+    /// What decides on a tenant's next request, if it is in the table.
+    pub fn standing(&self, tenant: &str) -> Option<Standing> {
+        self.table.get(tenant).map(Entry::standing)
+    }
+
+    /// The tenants with the most requests here, so many at the most, and what decides on their next ones.
+    pub fn busiest(&self, most: usize) -> Vec<(&str, Standing)> {
+        let mut all: Vec<_> = self.table.iter().map(|(name, e)| (name.as_str(), e.standing())).collect();
+        all.sort_by_key(|(name, s)| (std::cmp::Reverse(s.admitted + s.refused), *name));
+        all.truncate(most);
+        all
+    }
+
     /// A request of a tenant begins, or ends.
     pub fn open(&mut self, tenant: &str, by: f64) {
         if let Some(entry) = self.table.get_mut(tenant) {
