--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -101,6 +101,8 @@
     next: u64,
     pub load: f64,
     pub ran: Vec<u64>,
+    /// Which gatekeeper let each of them in.
+    pub ran_by: Vec<usize>,
     pub refused: usize,
     calls: BTreeMap<u64, Made>,
     /// Answers that came: the call, the marker, what.
@@ -203,6 +205,7 @@
             next: 0,
             load: 0.0,
             ran: Vec::new(),
+            ran_by: Vec::new(),
             refused: 0,
             calls: BTreeMap::new(),
             answers: Vec::new(),
@@ -563,6 +566,7 @@
             if gate.tenants.beyond(now, &tenant).is_none() {
                 gate.control.add("t");
                 self.ran.push(now);
+                self.ran_by.push(g);
             } else {
                 self.refused += 1;
             }
--- a/crates/proxy/tests/quota.rs
+++ b/crates/proxy/tests/quota.rs
@@ -108,8 +108,7 @@
 
     fn kill_gatekeepers(&mut self, at: u64) {
         let share = [0.1, 0.3, 0.6, 1.0][self.rng.usize(..4)];
-        let (how, down) =
-            if self.rng.bool() { ("kill", 500) } else { ("power", self.rng.u64(1_000..5_000)) };
+        let (how, down) = if self.rng.bool() { ("kill", 500) } else { ("power", self.rng.u64(1_000..5_000)) };
         for g in self.gatekeepers(share) {
             self.at(at, Act::Do(g, how));
             self.at(at + down, Act::Do(g, "up"));
@@ -174,7 +173,7 @@
     let mut times = 1.0;
     world.load = usual;
     for (at, act) in acts {
-        world.run(*at);
+        run(&mut world, *at);
         match act {
             Act::Load(more) => {
                 times += more;
@@ -189,18 +188,40 @@
             Act::Join(n) => world.act(*n, "join"),
         }
     }
-    world.run(END);
+    run(&mut world, END);
     world
 }
 
+/// Lets time pass; for one seed alone each half second is printed: what each gatekeeper let in, and how it takes part.
+fn run(world: &mut World, until: u64) {
+    let shows = seeds().count() == 1;
+    while shows && world.now < until {
+        let (from, next) = (world.ran.len(), (world.now / 500 + 1) * 500);
+        world.run(next.min(until));
+        let by = |g: usize| world.ran_by[from..].iter().filter(|by| **by == g).count();
+        let column = |g: usize| {
+            let Some(gate) = world.columns[g].gate.as_ref() else { return "down".to_owned() };
+            let (m, s) = (gate.tenants.membership(), gate.tenants.standing("t"));
+            let home = gate.control.home().map_or("-".into(), |ip| ip.octets()[3].to_string());
+            let (level, touch) = (s.map_or(0.0, |s| s.level), if m.in_touch { "" } else { "!" });
+            format!("{}{touch}{home}:{}-{}:{level:.0}", by(g), m.gatekeepers, m.missed)
+        };
+        let columns: Vec<String> = (0..GATEKEEPERS).map(column).collect();
+        println!("{:6} {:4} | {}", world.now, world.ran.len() - from, columns.join(" "));
+    }
+    world.run(until);
+}
+
+/// Seeds to play: as many as `GRANITELEAD_CASES` says, or from one to another.
+fn seeds() -> std::ops::Range<u64> {
+    let Ok(cases) = std::env::var("GRANITELEAD_CASES") else { return 0..300 };
+    let (from, to) = cases.split_once("..").unwrap_or(("0", &cases));
+    from.parse().unwrap()..to.parse().unwrap()
+}
+
 #[test]
 fn a_quota_holds_in_every_window_whatever_is_cut_killed_or_started() {
-    let seeds = match std::env::var("GRANITELEAD_CASES") {
-        Ok(cases) => cases.split_once("..").map_or(0..cases.parse().unwrap(), |(from, to)| {
-            from.parse().unwrap()..to.parse().unwrap()
-        }),
-        Err(_) => 0..300,
-    };
+    let seeds = seeds();
     let mut broken = Vec::new();
     for seed in seeds.clone() {
         let acts = Schedule::drawn(seed);
