--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod kinds;
 pub mod logs;
 pub mod paths;
+pub mod recent_use;
 pub mod settings;
--- /dev/null
+++ b/crates/common/src/recent_use.rs
@@ -0,0 +1,192 @@
+//! What each tenant used in the last window, and what might have been used: counts in slots that age out.
+//!
+//! Those who count together may use a part of each quota, which changes as they hear more of the others or fewer: that part
+//! is added up over the window (as milliseconds of the whole quota), so that use is held against what it was granted from.
+//! Whoever begins to count a shared quota anew, as its process has started or it counts with others than before, begins
+//! from this and not from a full store. Times are milliseconds of the holder's own clock.
+
+use std::collections::HashMap;
+
+/// Slots of a window.
+const SLOTS: usize = 20;
+/// Tenants that are remembered at once; what further ones use is not known.
+const TENANTS_MAX: usize = 100_000;
+
+#[derive(Clone, Copy, Default)]
+struct Counts {
+    newest: u64,
+    slots: [u32; SLOTS],
+}
+
+impl Counts {
+    /// Brings the slots to the present; what is older than the window is gone.
+    fn advance(&mut self, slot: u64) {
+        let passed = slot.saturating_sub(self.newest).min(SLOTS as u64);
+        for step in 1..=passed {
+            self.slots[((self.newest + step) % SLOTS as u64) as usize] = 0;
+        }
+        self.newest = self.newest.max(slot);
+    }
+
+    fn add(&mut self, slot: u64, n: u64) {
+        self.advance(slot);
+        // What is older than the newest slot counts as if it were of that.
+        let place = (self.newest % SLOTS as u64) as usize;
+        self.slots[place] = self.slots[place].saturating_add(n.min(u64::from(u32::MAX)) as u32);
+    }
+
+    fn sum(&self) -> u64 {
+        self.slots.iter().map(|n| u64::from(*n)).sum()
+    }
+}
+
+/// What each tenant used in the last window, as far as it is known.
+pub struct RecentUse {
+    slot: u64,
+    since: u64,
+    /// Microseconds of the whole quota that were granted, and until when they are added up.
+    granted: Counts,
+    granted_at: u64,
+    table: HashMap<String, Counts>,
+}
+
+impl RecentUse {
+    /// Nothing is known of the time before `now`. The window is in milliseconds.
+    pub fn new(window: u64, now: u64) -> RecentUse {
+        let slot = (window / SLOTS as u64).max(1);
+        let granted = Counts { newest: now / slot, ..Counts::default() };
+        RecentUse { slot, since: now, granted, granted_at: now, table: HashMap::new() }
+    }
+
+    fn window(&self) -> u64 {
+        self.slot * SLOTS as u64
+    }
+
+    /// For how much of the last window it is known what was used, milliseconds.
+    pub fn span(&self, now: u64) -> u64 {
+        now.saturating_sub(self.since).min(self.window())
+    }
+
+    /// This part of each quota was granted to those who count together since this was last called.
+    pub fn grant(&mut self, now: u64, part: f64) {
+        let from = self.granted_at.max(now.saturating_sub(self.window()));
+        let mut at = from;
+        while at < now {
+            let end = ((at / self.slot + 1) * self.slot).min(now);
+            self.granted.add(at / self.slot, ((end - at) as f64 * part * 1e3) as u64);
+            at = end;
+        }
+        self.granted_at = self.granted_at.max(now);
+    }
+
+    /// For how long the whole quota was granted in the slots that are held, milliseconds; `part` is granted since
+    /// [`RecentUse::grant`] was last called.
+    pub fn granted(&self, now: u64, part: f64) -> f64 {
+        let mut granted = self.granted;
+        granted.advance(now / self.slot);
+        granted.sum() as f64 / 1e3 + now.saturating_sub(self.granted_at).min(self.slot) as f64 * part
+    }
+
+    /// Whether it is known what was used in all of the slots.
+    pub fn is_whole(&self, now: u64) -> bool {
+        now.saturating_sub(self.since) + self.slot >= self.window()
+    }
+
+    /// A tenant used so many.
+    pub fn add(&mut self, now: u64, tenant: &str, n: u64) {
+        let slot = now / self.slot;
+        if let Some(counts) = self.table.get_mut(tenant) {
+            counts.add(slot, n);
+            return;
+        }
+        if self.table.len() >= TENANTS_MAX {
+            self.forget_idle(now);
+        }
+        if self.table.len() < TENANTS_MAX {
+            self.table.insert(tenant.to_owned(), Counts { newest: slot, slots: [0; SLOTS] });
+            self.add(now, tenant, n);
+        }
+    }
+
+    /// What a tenant used in the last window, or in the part of it that is known.
+    pub fn used(&self, now: u64, tenant: &str) -> u64 {
+        self.table.get(tenant).map_or(0, |counts| {
+            let mut counts = *counts;
+            counts.advance(now / self.slot);
+            counts.sum()
+        })
+    }
+
+    /// What all tenants used, without those that used nothing.
+    pub fn all(&mut self, now: u64) -> Vec<(String, u64)> {
+        self.forget_idle(now);
+        let mut all: Vec<_> = self.table.iter().map(|(name, counts)| (name.clone(), counts.sum())).collect();
+        all.sort();
+        all
+    }
+
+    /// Takes over what another knows of the last `span` milliseconds: for how many of them the whole quota was granted, and
+    /// what was used, which is spread evenly over them.
+    pub fn replace(&mut self, now: u64, span: u64, granted: u64, used: &[(String, u64)]) {
+        let span = span.min(self.window());
+        let slots = (span / self.slot).clamp(1, SLOTS as u64);
+        self.since = now.saturating_sub(span);
+        self.granted = Counts { newest: now.saturating_sub(span) / self.slot, ..Counts::default() };
+        self.granted_at = now;
+        self.table.clear();
+        for place in (0..slots).rev() {
+            // The rest goes to the newest slot.
+            let part = |n: u64| if place == 0 { n - n / slots * (slots - 1) } else { n / slots };
+            let at = now.saturating_sub(place * self.slot);
+            self.granted.add(at / self.slot, part(granted * 1_000));
+            used.iter().for_each(|(tenant, n)| self.add(at, tenant, part(*n)));
+        }
+    }
+
+    /// Forgets those that used nothing in the last window.
+    pub fn forget_idle(&mut self, now: u64) {
+        let slot = now / self.slot;
+        self.table.retain(|_, counts| {
+            counts.advance(slot);
+            counts.sum() > 0
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use googletest::prelude::*;
+
+    #[gtest]
+    fn what_was_used_ages_out_with_the_window() {
+        let mut recent = RecentUse::new(5_000, 1_000);
+        recent.add(1_000, "t", 3);
+        recent.add(3_000, "t", 4);
+        expect_that!(recent.span(3_000), eq(2_000));
+        expect_that!(recent.used(5_900, "t"), eq(7));
+        expect_that!(recent.used(6_000, "t"), eq(4));
+        expect_that!(recent.used(60_000, "t"), eq(0));
+        expect_that!(recent.used(60_000, "u"), eq(0));
+        expect_that!(recent.span(60_100), eq(5_000));
+        expect_true!(recent.is_whole(60_100) && !recent.is_whole(3_000));
+        expect_true!(recent.all(60_000).is_empty());
+    }
+
+    #[gtest]
+    fn what_another_knows_is_taken_over_and_ages_out_by_parts() {
+        let mut recent = RecentUse::new(5_000, 0);
+        recent.add(100, "u", 9);
+        recent.replace(10_000, 2_000, 1_500, &[("t".into(), 83)]);
+        expect_that!(recent.used(10_000, "t"), eq(83));
+        expect_that!(recent.used(10_000, "u"), eq(0));
+        expect_that!(recent.span(11_000), eq(3_000));
+        expect_that!(recent.granted(10_000, 1.0), near(1_500.0, 1.0));
+        recent.grant(11_000, 0.5);
+        expect_that!(recent.granted(11_000, 0.5), near(2_000.0, 1.0));
+        recent.grant(60_100, 1.0);
+        expect_that!(recent.granted(60_100, 1.0), near(4_850.0, 1.0));
+        expect_that!(recent.used(14_000, "t"), all![lt(83), gt(0)]);
+        expect_that!(recent.used(15_000, "t"), eq(0));
+    }
+}
--- a/crates/control-protocol/src/words.rs
+++ b/crates/control-protocol/src/words.rs
@@ -200,6 +200,8 @@
     pub forgets: bool,
     /// Whether it was told to end.
     pub leaves: bool,
+    /// The other markers of its group: with them it counts quotas together.
+    pub group: Vec<Ipv4Addr>,
 }
 
 /// Whether a server takes new work.
@@ -301,10 +303,18 @@
     CaughtUp(u64, Option<u32>),
     /// Servers that have beaten here, with their sequence numbers.
     Alive(Vec<(String, u64)>),
-    /// The gatekeepers whose home the sender is, by name, and its zone: when they change, and now and then. They stand
-    /// as long as the sender is heard. Then those that are missed, and for how long, ms.
-    Sessions(String, Vec<String>, Vec<(String, u64)>),
-    /// The process of a gatekeeper has ended: its name.
+    /// Which gatekeepers there are: when it changes, and now and then.
+    Sessions {
+        /// The zone of the sender.
+        zone: String,
+        /// The gatekeepers whose home the sender is, by name. They stand as long as the sender is heard.
+        names: Vec<String>,
+        /// Those that are missed, and for how long, ms.
+        missed: Vec<(String, u64)>,
+        /// Those that said that they end, and how long ago, ms.
+        ended: Vec<(String, u64)>,
+    },
+    /// A gatekeeper has said that its process ends: its name.
     Left(String),
     /// Requests let in, by tenant, since the last time.
     Adds(Vec<(String, u64)>),
@@ -337,6 +347,19 @@
     Adds(u64, Vec<(String, u64)>),
     /// Nothing, to be heard.
     Ping,
+    /// The process ends, and lets in nothing more.
+    Leave,
+}
+
+/// What gatekeepers that count together let in of late, in the quotas' window.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Recent {
+    /// For how long before now it is known, ms.
+    pub span: u64,
+    /// For how much of that time the whole of each quota was theirs, ms: half of it for twice as long counts the same.
+    pub granted: u64,
+    /// By tenant.
+    pub used: Vec<(String, u64)>,
 }
 
 /// What a marker says to a gatekeeper.
@@ -349,6 +372,8 @@
     Totals(u64, Vec<(String, u64, u64)>),
     /// Nothing, to be heard.
     Pong,
+    /// What all gatekeepers that are heard let in before the first totals.
+    Recent(Recent),
 }
 
 /// What changes at a gatekeeper.
@@ -393,7 +418,7 @@
                 Between::Servers(..) | Between::Reaped(..) => "Servers",
                 Between::Told(_) => "Told",
                 Between::Alive(_) => "Alive",
-                Between::Sessions(..) | Between::Left(_) => "Sessions",
+                Between::Sessions { .. } | Between::Left(_) => "Sessions",
                 Between::Adds(_) => "Adds",
                 Between::CatchUp(..) | Between::CaughtUp(..) => "CatchUp",
                 _ => "rounds",
@@ -407,7 +432,7 @@
                 _ => "other",
             },
             Word::Down(down) => match down {
-                Down::Totals(..) => "Totals",
+                Down::Totals(..) | Down::Recent(..) => "Totals",
                 Down::Pong => "Pong",
                 Down::News(_, news) => match news {
                     News::Configuration(_) | News::Change(_) => "Configuration",
--- a/crates/marker/src/core.rs
+++ b/crates/marker/src/core.rs
@@ -3,6 +3,7 @@
 //! The rules stand in [`crate::agreement`]; nothing that is decided here can break them, and nothing there trusts a
 //! clock. Time only says when to try.
 
+mod counting;
 mod hearing;
 mod orders;
 mod rounds;
@@ -64,8 +65,8 @@
     /// When it was; never, where only others name it.
     at: Option<Millis>,
     led: bool,
-    /// Whether it said last that it hears this marker.
-    hears_me: bool,
+    /// The markers that it said last that it hears.
+    hears: Vec<Ipv4Addr>,
     sure: Option<u32>,
     sure_sent: Millis,
     standing: Standing,
@@ -78,7 +79,7 @@
             node,
             at: None,
             led: false,
-            hears_me: false,
+            hears: Vec::new(),
             sure: None,
             sure_sent: 0,
             standing: Standing::default(),
@@ -273,7 +274,7 @@
 
     /// The same marker in a zone, with a disk or without.
     pub fn placed(mut self, zone: &str, disk: bool) -> Core {
-        self.standing = Standing { zone: zone.to_owned(), forgets: !disk, leaves: false };
+        self.standing = Standing { zone: zone.to_owned(), forgets: !disk, ..Standing::default() };
         self
     }
 
--- a/crates/marker/src/core/hearing.rs
+++ b/crates/marker/src/core/hearing.rs
@@ -34,6 +34,7 @@
         let epoch = self.agreement.epoch().map(|e| e.number).unwrap_or_default();
         let (leads, led, others) = (self.agreement.leads().is_some(), self.has_primary(), self.live());
         let sure = self.agreement.sure().map(|d| d.version);
+        let standing = Standing { group: self.group().into_iter().collect(), ..self.standing.clone() };
         let all = self.now >= self.said_outside + HEAR_OUTSIDE;
         if all {
             self.said_outside = self.now;
@@ -42,7 +43,7 @@
         let inside = |ip: Ipv4Addr| core.iter().any(|node| node.ip == ip);
         let mine = core.contains(&self.me());
         for ip in self.known().into_iter().filter(|ip| all || mine && inside(*ip)) {
-            let (others, duties, standing) = (others.clone(), self.duties.mine(), self.standing.clone());
+            let (others, duties, standing) = (others.clone(), self.duties.mine(), standing.clone());
             out.push(Output::Send(ip, Between::Hear { epoch, leads, led, sure, others, duties, standing }));
         }
     }
@@ -56,9 +57,14 @@
         heard.map(|heard| heard.standing.clone()).unwrap_or_default()
     }
 
+    /// The present, as this marker was told it last.
+    pub fn now(&self) -> Millis {
+        self.now
+    }
+
     /// Whether most of the core is heard here and says that it hears this marker, itself included.
     pub fn in_contact(&self) -> bool {
-        self.most_of_core(|ip| self.heard.get(&ip).is_some_and(|h| h.hears_me))
+        self.most_of_core(|ip| self.heard.get(&ip).is_some_and(|h| h.hears.contains(&self.me().ip)))
     }
 
     /// Whether most of the core is heard and meant by `has`, this marker included; never where no epoch is kept.
@@ -124,7 +130,7 @@
                 self.went_back.insert(from);
             }
             (heard.node, heard.at, heard.led, heard.sure) = (from, Some(now), led, sure);
-            (heard.hears_me, heard.standing) = (others.contains(&me.ip), standing);
+            (heard.hears, heard.standing) = (others.to_vec(), standing);
             if !known {
                 // It waits to be told that it is heard.
                 (self.said, self.said_outside) = (0, 0);
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod core;
 pub mod duties;
+pub mod members;
 pub mod parts;
 pub mod pushes;
 pub mod registry;
--- a/crates/marker/src/parts.rs
+++ b/crates/marker/src/parts.rs
@@ -87,6 +87,8 @@
     Answer(u64, Reply),
     /// Put the servers on disk, whenever there is time.
     Servers(Vec<Instance>),
+    /// Put the names of the gatekeepers on disk, whenever there is time.
+    Gatekeepers(Vec<String>),
     /// A configuration can't be lost any more.
     Sure(Arc<Document>),
 }
--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -163,6 +163,9 @@
                 Output::Servers(servers) => {
                     let _ = self.writes.send(Job::Servers(servers));
                 }
+                Output::Gatekeepers(names) => {
+                    let _ = self.writes.send(Job::Gatekeepers(names));
+                }
                 Output::Answer(id, reply) => {
                     if let Some(call) = self.calls.borrow_mut().remove(&id) {
                         // Whoever called may have gone.
@@ -225,9 +228,8 @@
     })
     .await;
     if exchange.sessions.borrow_mut().remove(&id).is_some() {
-        let left = matches!(ended, line::Ended::Closed | line::Ended::Broken { .. });
         log::info!("session {id}: {ended}");
-        exchange.step(|marker, _, out| marker.on_closed(id, left, out));
+        exchange.step(|marker, _, _| marker.on_closed(id));
     }
 }
 
@@ -302,7 +304,7 @@
 async fn open(settings: &Settings) -> Result<Found, Failure> {
     let Some(folder) = &settings.folder else {
         let store = Store::in_memory().context(FolderSnafu)?;
-        return Ok(Found { store, kept: None, servers: Vec::new(), forgot: false });
+        return Ok(Found { store, kept: None, servers: Vec::new(), gatekeepers: Vec::new(), forgot: false });
     };
     let mut backoff = Backoff::new(fastrand::u64(..));
     loop {
@@ -323,7 +325,7 @@
 /// Why it can't go on.
 pub async fn serve(settings: Settings, control: SocketAddrV4) -> Result<(), Failure> {
     let seeds = ips(&settings);
-    let Found { mut store, kept, servers, forgot } = open(&settings).await?;
+    let Found { mut store, kept, servers, gatekeepers, forgot } = open(&settings).await?;
     let first_start = settings.first_start && !forgot;
     let keeping = match kept {
         Some(kept) if kept.node.ip == settings.ip => kept,
@@ -347,7 +349,8 @@
     let core = Core::new(keeping, &seeds, settings.losses, fastrand::u64(..), 0)
         .placed(&settings.zone, settings.folder.is_some());
     let beat = settings.beat.as_millis() as Millis;
-    let marker = Marker::new(core, settings.zone.clone(), beat, servers);
+    let window = settings.bounds.quota_window.as_millis() as Millis;
+    let marker = Marker::new(core, settings.zone.clone(), beat, servers).remembering(gatekeepers, window);
     let exchange = Rc::new(Exchange {
         marker: RefCell::new(marker),
         begun: Instant::now(),
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -1,6 +1,7 @@
 //! One marker as a state machine: calls, words and ticks come in; what to send, write and answer goes out.
 
 use crate::core::{Core, View};
+use crate::members::Members;
 use crate::parts::{Millis, Output, Reply, SessionId};
 use crate::registry::{self, Learnt, Registry};
 use crate::repair::Repair;
@@ -22,10 +23,8 @@
 const HERE: Millis = 1_000;
 /// How often markers tell each other what was let in: bytes between zones.
 const ADDS: Millis = 125;
-/// A gatekeeper that no marker has heard for the first is missed, and until the second it is counted all the same: it
-/// may be cut off, and goes on letting in its part.
-const MISSED: (Millis, Millis) = (400, 15_000);
-/// A marker has heard of all gatekeepers this long after its start; only then it says how many there are.
+/// A marker has heard of all gatekeepers this long after its start; only then, or if it knows them from its disk, it says
+/// how many there are.
 const KNOWS: Millis = 1_200;
 /// How often the servers are put on disk, where they have changed.
 const SERVERS: Millis = 400;
@@ -42,12 +41,6 @@
     zone: String,
 }
 
-/// A gatekeeper whose session stands, or stood lately.
-struct Member {
-    home: Ipv4Addr,
-    at: Millis,
-}
-
 /// What was missed out of contact, asked for under a number; the safe versions of those that have answered.
 struct Asking {
     number: u64,
@@ -72,8 +65,14 @@
     repair: Repair,
     tally: Tally,
     peers: BTreeMap<Ipv4Addr, Peer>,
-    /// Gatekeepers that were members lately, by name.
-    members: BTreeMap<String, Member>,
+    members: Members,
+    /// The markers whose gatekeepers count together with those here.
+    counts_with: BTreeSet<Ipv4Addr>,
+    /// The names of the gatekeepers that were put on disk last.
+    stored_members: Vec<String>,
+    /// Whether it is known how many gatekeepers there are; when this process began.
+    knows_members: bool,
+    begun: Millis,
     told_members: (u32, u32),
     told_markers: Vec<Ipv4Addr>,
     told_here: Vec<String>,
@@ -125,7 +124,7 @@
         for server in servers {
             registry.take(0, server);
         }
-        let (ticket, asked) = (core.draw(), core.draw());
+        let (ticket, asked, begun) = (core.draw(), core.draw(), core.now());
         Marker {
             core,
             zone,
@@ -134,7 +133,11 @@
             repair: Repair::default(),
             tally: Tally::default(),
             peers: BTreeMap::new(),
-            members: BTreeMap::new(),
+            members: Members::default(),
+            counts_with: BTreeSet::new(),
+            stored_members: Vec::new(),
+            knows_members: false,
+            begun,
             told_members: (0, 0),
             told_markers: Vec::new(),
             told_here: Vec::new(),
@@ -153,6 +156,17 @@
         }
     }
 
+    /// With the gatekeepers that its disk names, and the window by which quotas are judged, ms.
+    #[must_use]
+    pub fn remembering(mut self, gatekeepers: Vec<String>, window: Millis) -> Marker {
+        self.knows_members = !gatekeepers.is_empty();
+        self.stored_members.clone_from(&gatekeepers);
+        self.members = Members::stored(self.begun, gatekeepers);
+        self.told_members = self.members.look(self.begun, false, |_| None);
+        self.tally = Tally::new(window, self.begun);
+        self
+    }
+
     /// This marker.
     pub fn me(&self) -> Node {
         self.core.me()
@@ -343,17 +357,17 @@
                     self.tell_servers(changed, out);
                 }
             }
-            Between::Sessions(zone, names, missed) => {
-                // One that starts again learns whom the others miss; nobody's time begins anew.
-                for (name, age) in missed {
-                    let member = Member { home: Ipv4Addr::UNSPECIFIED, at: now.saturating_sub(age) };
-                    self.members.entry(name).or_insert(member);
-                }
+            Between::Sessions { zone, names, missed, ended } => {
                 self.peers.entry(from.ip).or_default().zone = zone;
-                self.take_members(now, from.ip, names);
+                let is_counted = self.counts_with.contains(&from.ip);
+                self.members.take(now, from.ip, names, is_counted);
+                self.members.learn_missed(now, missed);
+                ended.into_iter().for_each(|(name, age)| self.members.end(now, &name, age));
             }
-            Between::Left(name) => drop(self.members.remove(&name)),
-            Between::Adds(adds) => self.tally.count(&adds),
+            Between::Left(name) => self.members.end(now, &name, 0),
+            // Others count without what is let in here: each leaves the other its part.
+            Between::Adds(adds) if self.counts_with.contains(&from.ip) => self.tally.count(now, &adds),
+            Between::Adds(_) => {}
             Between::CatchUp(number) => {
                 out.push(Output::Send(from.ip, Between::Servers(0, self.registry.whole())));
                 let sure = self.core.sure().map(|d| d.version);
@@ -417,7 +431,7 @@
                 if !ended.is_empty() {
                     self.sessions.tell(session, News::Servers(ended), out);
                 }
-                if now >= KNOWS {
+                if self.knows_members {
                     let (all, missed) = self.told_members;
                     self.sessions.tell(session, News::Gatekeepers(all, missed), out);
                 }
@@ -437,20 +451,24 @@
             Up::Got(number) => self.sessions.on_got(session, number, out),
             Up::Has(revision) => self.sessions.on_has(session, revision),
             Up::Lacks(revision) => self.sessions.on_lacks(session, revision, out),
-            Up::Adds(number, adds) => self.tally.on_adds(session, number, &adds),
+            Up::Adds(number, adds) => self.tally.on_adds(now, session, number, &adds),
+            Up::Leave => self.on_leaving(now, session, out),
         }
         self.after(now, out);
     }
 
-    /// A session ends; `left` says that its process ended or left, and is not merely silent.
-    pub fn on_closed(&mut self, session: SessionId, left: bool, out: &mut Vec<Output>) {
-        let home = self.sessions.life(session).is_some_and(|life| self.tally.lives().contains(&life));
-        if let (true, Some(name)) = (left && home, self.sessions.name(session)) {
-            self.members.remove(&name);
-            for ip in self.core.known() {
-                out.push(Output::Send(ip, Between::Left(name.clone())));
-            }
+    /// A gatekeeper says that its process ends: its part of each quota is the others'.
+    fn on_leaving(&mut self, now: Millis, session: SessionId, out: &mut Vec<Output>) {
+        let Some(name) = self.sessions.name(session) else { return };
+        self.tally.close(session);
+        self.members.end(now, &name, 0);
+        for ip in self.core.known() {
+            out.push(Output::Send(ip, Between::Left(name.clone())));
         }
+    }
+
+    /// A session ends. That says nothing of its gatekeeper, which may have lost the connection only.
+    pub fn on_closed(&mut self, session: SessionId) {
         self.tally.close(session);
         self.sessions.close(session);
     }
@@ -491,6 +509,9 @@
                 self.adds_at = now;
                 out.extend(peers.iter().map(|ip| Output::Send(*ip, Between::Adds(batch.clone()))));
             }
+            for (id, recent) in self.tally.beginnings(now) {
+                out.push(Output::Tell(id, Down::Recent(recent)));
+            }
             let news = self.tally.news(now).into_iter();
             out.extend(news.map(|(id, number, totals)| Output::Tell(id, Down::Totals(number, totals))));
         }
@@ -509,27 +530,7 @@
             self.sessions_at = now;
             let known = self.core.known();
             self.repair.sweep(now, |ip| known.contains(ip));
-            let here = self.sessions.names(now, &self.tally.lives());
-            self.take_members(now, self.core.me().ip, here.clone());
-            if here != self.told_here || now >= self.here_at + HERE {
-                (self.told_here, self.here_at) = (here.clone(), now);
-                let gone = self.members.iter().filter(|(_, member)| now >= member.at + MISSED.0);
-                let missed = gone.map(|(name, member)| (name.clone(), now - member.at)).collect();
-                let word = Between::Sessions(self.zone.clone(), here, missed);
-                out.extend(peers.iter().map(|ip| Output::Send(*ip, word.clone())));
-            }
-            // A marker that is heard would have said that one of its gatekeepers is not.
-            for member in self.members.values_mut() {
-                let heard = self.peers.get(&member.home).map_or(0, |peer| peer.heard);
-                member.at = member.at.max(if heard + MISSED.0 > now { now.min(heard) } else { 0 });
-            }
-            self.members.retain(|_, member| now < member.at + MISSED.1);
-            let missed = self.members.values().filter(|member| now >= member.at + MISSED.0).count() as u32;
-            let members = ((self.members.len() as u32).max(1), missed);
-            if members != self.told_members && now >= KNOWS {
-                self.told_members = members;
-                self.sessions.tell_all(&News::Gatekeepers(members.0, members.1), out);
-            }
+            self.look_at_members(now, &peers, out);
             let markers = self.markers();
             if markers != self.told_markers {
                 self.told_markers.clone_from(&markers);
@@ -539,6 +540,38 @@
         self.after(now, out);
     }
 
+    /// Tells the other markers whose home this one is, and gatekeepers how many there are, where it has changed.
+    fn look_at_members(&mut self, now: Millis, peers: &[Ipv4Addr], out: &mut Vec<Output>) {
+        let here = self.sessions.names(now, &self.tally.lives());
+        self.members.take(now, self.core.me().ip, here.clone(), true);
+        if here != self.told_here || now >= self.here_at + HERE {
+            (self.told_here, self.here_at) = (here.clone(), now);
+            let (missed, ended) = (self.members.missed(now), self.members.ended(now));
+            let word = Between::Sessions { zone: self.zone.clone(), names: here, missed, ended };
+            out.extend(peers.iter().map(|ip| Output::Send(*ip, word.clone())));
+        }
+        self.counts_with = self.core.counts_with();
+        let all_together = self.core.all_count_together(&self.counts_with);
+        let (counted, heard) = (&self.counts_with, &self.peers);
+        let counts = self.members.look(now, all_together, |ip| {
+            heard.get(&ip).filter(|_| counted.contains(&ip)).map(|peer| peer.heard)
+        });
+        self.knows_members |= now >= self.begun + KNOWS;
+        if self.knows_members {
+            let (all, missed) = self.told_members;
+            self.tally.grant(now, f64::from(all - missed.min(all)) / f64::from(all.max(1)));
+        }
+        if counts != self.told_members && self.knows_members {
+            self.told_members = counts;
+            self.sessions.tell_all(&News::Gatekeepers(counts.0, counts.1), out);
+        }
+        let names = self.members.names();
+        if names != self.stored_members && now >= self.begun + KNOWS {
+            out.push(Output::Gatekeepers(names.clone()));
+            self.stored_members = names;
+        }
+    }
+
     /// Has the servers ended whose beats have stopped, where that is this marker's duty.
     fn reap(&mut self, now: Millis, out: &mut Vec<Output>) {
         let Some(number) = self.core.holds(Duty::Reaper).filter(|_| self.contact) else {
@@ -613,17 +646,6 @@
         self.sessions.tell_all(&News::Contact(self.contact), out);
     }
 
-    /// A marker names all gatekeepers whose home it is: others whose home it was are heard no more.
-    fn take_members(&mut self, now: Millis, home: Ipv4Addr, names: Vec<String>) {
-        let nobody = Ipv4Addr::UNSPECIFIED;
-        for (name, member) in self.members.iter_mut().filter(|(_, member)| member.home == home) {
-            if !names.contains(name) {
-                member.home = nobody;
-            }
-        }
-        self.members.extend(names.into_iter().map(|name| (name, Member { home, at: now })));
-    }
-
     /// A marker of a zone that is heard, where it is another than this one's.
     fn marker_of(&self, zone: &str) -> Option<Ipv4Addr> {
         let live = self.core.live();
@@ -699,7 +721,7 @@
             "orders-refused": view.refused,
             "sessions": of,
             "sessions-with-version": have,
-            "gatekeepers": self.members.keys().collect::<Vec<_>>(),
+            "gatekeepers": self.members.names(),
             "markers": self.markers().iter().map(ToString::to_string).collect::<Vec<_>>(),
             "servers": self.registry.all().len(),
             "duties": duties,
--- a/crates/marker/src/store.rs
+++ b/crates/marker/src/store.rs
@@ -98,6 +98,8 @@
     pub kept: Option<Keeping>,
     /// The servers that were known last.
     pub servers: Vec<Instance>,
+    /// The gatekeepers that were known last, by name.
+    pub gatekeepers: Vec<String>,
     /// Whether there was a file that can't be used: what this marker promised is forgotten.
     pub forgot: bool,
 }
@@ -133,8 +135,8 @@
     pub fn find(folder: &Path) -> Result<Found, Fault> {
         let found = |forgot| {
             let mut store = Store::open(folder)?;
-            let (kept, servers) = (store.read()?, store.servers()?);
-            Ok(Found { store, kept, servers, forgot })
+            let (kept, servers, gatekeepers) = (store.read()?, store.servers()?, store.gatekeepers()?);
+            Ok(Found { store, kept, servers, gatekeepers, forgot })
         };
         match found(false) {
             Err(fault) if Fault::is_damage(&fault) => {
@@ -284,8 +286,30 @@
     ///
     /// Why they are not kept.
     pub fn write_servers(&self, servers: &[Instance]) -> Result<(), Fault> {
-        let put = "INSERT OR REPLACE INTO kept (name, value) VALUES ('servers', ?1)";
-        self.disk.execute(put, params![bytes(&servers)]).context(DiskSnafu { file: &self.file })?;
+        self.write_part("servers", bytes(&servers))
+    }
+
+    /// The gatekeepers that were known last, by name.
+    ///
+    /// # Errors
+    ///
+    /// Why they can't be read.
+    pub fn gatekeepers(&self) -> Result<Vec<String>, Fault> {
+        Ok(self.get("gatekeepers")?.unwrap_or_default())
+    }
+
+    /// Keeps the names of the gatekeepers.
+    ///
+    /// # Errors
+    ///
+    /// Why they are not kept.
+    pub fn write_gatekeepers(&self, names: &[String]) -> Result<(), Fault> {
+        self.write_part("gatekeepers", bytes(&names))
+    }
+
+    fn write_part(&self, name: &str, value: Vec<u8>) -> Result<(), Fault> {
+        let put = "INSERT OR REPLACE INTO kept (name, value) VALUES (?1, ?2)";
+        self.disk.execute(put, params![name, value]).context(DiskSnafu { file: &self.file })?;
         Ok(())
     }
 
@@ -362,19 +386,36 @@
     Keep(u64, Keeping),
     /// The servers, which may be lost.
     Servers(Vec<Instance>),
+    /// The names of the gatekeepers, which may be lost.
+    Gatekeepers(Vec<String>),
+}
+
+/// What waits to be written: of each kind the newest alone.
+#[derive(Default)]
+struct Pending {
+    keep: Option<(u64, Keeping)>,
+    servers: Option<Vec<Instance>>,
+    gatekeepers: Option<Vec<String>>,
+}
+
+impl Pending {
+    fn take(&mut self, job: Job) {
+        match job {
+            Job::Keep(ticket, keeping) => self.keep = Some((ticket, keeping)),
+            Job::Servers(known) => self.servers = Some(known),
+            Job::Gatekeepers(names) => self.gatekeepers = Some(names),
+        }
+    }
 }
 
 /// Writes what comes until nobody sends any more; tells the ticket of each write once it is there.
 pub fn run(mut store: Store, jobs: &mpsc::Receiver<Job>, mut written: impl FnMut(u64)) {
-    let (mut keep, mut servers, mut failing) = (None, None, false);
+    let (mut pending, mut failing) = (Pending::default(), false);
     while let Ok(job) = jobs.recv() {
         for job in std::iter::once(job).chain(jobs.try_iter()) {
-            match job {
-                Job::Keep(ticket, keeping) => keep = Some((ticket, keeping)),
-                Job::Servers(known) => servers = Some(known),
-            }
+            pending.take(job);
         }
-        while let Some((ticket, keeping)) = keep.take() {
+        while let Some((ticket, keeping)) = pending.keep.take() {
             match store.write(&keeping) {
                 Ok(()) => {
                     failing = false;
@@ -385,20 +426,16 @@
                         log::error!("not kept, tried again until it is: {fault}");
                     }
                     std::thread::sleep(AGAIN);
-                    keep = Some((ticket, keeping));
-                    for job in jobs.try_iter() {
-                        match job {
-                            Job::Keep(ticket, keeping) => keep = Some((ticket, keeping)),
-                            Job::Servers(known) => servers = Some(known),
-                        }
-                    }
+                    pending.keep = Some((ticket, keeping));
+                    jobs.try_iter().for_each(|job| pending.take(job));
                 }
             }
         }
-        if let Some(known) = servers.take() {
-            if let Err(fault) = store.write_servers(&known) {
-                log::warn!("servers not kept: {fault}");
-            }
+        if let Some(Err(fault)) = pending.servers.take().map(|known| store.write_servers(&known)) {
+            log::warn!("servers not kept: {fault}");
+        }
+        if let Some(Err(fault)) = pending.gatekeepers.take().map(|names| store.write_gatekeepers(&names)) {
+            log::warn!("gatekeepers not kept: {fault}");
         }
     }
 }
--- a/crates/marker/src/tally.rs
+++ b/crates/marker/src/tally.rs
@@ -2,9 +2,12 @@
 //!
 //! Totals count up from this marker's start. A gatekeeper takes from them how much the others have added since it
 //! last looked, and holds that against its own clock: no clock is shared, and a marker that starts again begins at 0
-//! without harm.
+//! without harm. What was let in of late is told first to whoever makes this marker its home: it begins from that, and
+//! not from a full store.
 
 use crate::parts::{Millis, SessionId};
+use granitelead_common::recent_use::RecentUse;
+use granitelead_control_protocol::words::Recent;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Tenants that are counted at once.
@@ -26,13 +29,19 @@
     /// Whether something changed that it has to know.
     changed: BTreeSet<String>,
     new_number: bool,
+    /// Whether it is to be told what was let in of late.
+    begins: bool,
     sent: Millis,
 }
 
+/// The quotas' window where the settings name none, ms.
+const WINDOW: Millis = 5_000;
+
 /// Totals of all tenants.
-#[derive(Default)]
 pub struct Tally {
     totals: BTreeMap<String, u64>,
+    recent: RecentUse,
+    part: f64,
     homes: BTreeMap<SessionId, Told>,
     /// What came from sessions here since the other markers were told.
     batch: BTreeMap<String, u64>,
@@ -41,12 +50,31 @@
     added_at: Millis,
 }
 
+impl Default for Tally {
+    fn default() -> Tally {
+        Tally::new(WINDOW, 0)
+    }
+}
+
 impl Tally {
+    /// Nothing was added yet; quotas are judged by such a window, ms.
+    pub fn new(window: Millis, now: Millis) -> Tally {
+        Tally {
+            totals: BTreeMap::new(),
+            recent: RecentUse::new(window, now),
+            part: 0.0,
+            homes: BTreeMap::new(),
+            batch: BTreeMap::new(),
+            added: false,
+            added_at: 0,
+        }
+    }
+
     /// A gatekeeper makes this marker its home.
     pub fn open(&mut self, session: SessionId, life: u64) {
         // It is told at once, also that there is nothing: until then it knows nothing of the others.
         let changed = self.totals.keys().cloned().collect();
-        let told = Told { life, changed, new_number: true, ..Told::default() };
+        let told = Told { life, changed, new_number: true, begins: true, ..Told::default() };
         self.homes.insert(session, told);
     }
 
@@ -61,7 +89,7 @@
     }
 
     /// Adds of a gatekeeper, under a number that rises.
-    pub fn on_adds(&mut self, session: SessionId, number: u64, adds: &[(String, u64)]) {
+    pub fn on_adds(&mut self, now: Millis, session: SessionId, number: u64, adds: &[(String, u64)]) {
         let Some(told) = self.homes.get_mut(&session).filter(|told| number > told.number) else { return };
         (told.number, told.new_number) = (number, true);
         for (tenant, n) in adds {
@@ -74,17 +102,18 @@
                 *self.batch.entry(tenant.clone()).or_default() += n;
             }
         }
-        self.count(adds);
+        self.count(now, adds);
     }
 
     /// Adds that another marker has taken in.
-    pub fn count(&mut self, adds: &[(String, u64)]) {
+    pub fn count(&mut self, now: Millis, adds: &[(String, u64)]) {
         self.added |= !adds.is_empty();
         for (tenant, n) in adds {
             if self.totals.len() >= TENANTS_MAX && !self.totals.contains_key(tenant) {
                 continue;
             }
             *self.totals.entry(tenant.clone()).or_default() += n;
+            self.recent.add(now, tenant, *n);
             for told in self.homes.values_mut() {
                 told.changed.insert(tenant.clone());
             }
@@ -96,6 +125,27 @@
         std::mem::take(&mut self.batch).into_iter().collect()
     }
 
+    /// Such a part of each quota is that of the gatekeepers that are heard.
+    pub fn grant(&mut self, now: Millis, part: f64) {
+        self.part = part;
+        self.recent.grant(now, part);
+    }
+
+    /// What those that have made this marker their home since the last time are told first: what was let in of late.
+    pub fn beginnings(&mut self, now: Millis) -> Vec<(SessionId, Recent)> {
+        let begin = self
+            .homes
+            .iter_mut()
+            .filter_map(|(session, told)| std::mem::take(&mut told.begins).then_some(*session));
+        let begin: Vec<SessionId> = begin.collect();
+        if begin.is_empty() {
+            return Vec::new();
+        }
+        let granted = self.recent.granted(now, self.part) as Millis;
+        let recent = Recent { span: self.recent.span(now), granted, used: self.recent.all(now) };
+        begin.into_iter().map(|session| (session, recent.clone())).collect()
+    }
+
     /// What each gatekeeper has to be told: the number of its newest adds, and tenants with total and own part.
     /// For a time after something was added also that nothing was since: those who wait for room must know.
     pub fn news(&mut self, now: Millis) -> Vec<(SessionId, u64, Totals)> {
@@ -134,11 +184,11 @@
         here.open(1, 11);
         here.open(2, 12);
         there.open(1, 13);
-        here.on_adds(1, 1, &adds(5));
-        here.on_adds(1, 1, &adds(5));
-        here.on_adds(2, 1, &adds(2));
-        here.on_adds(9, 1, &adds(100));
-        there.count(&here.batch());
+        here.on_adds(0, 1, 1, &adds(5));
+        here.on_adds(0, 1, 1, &adds(5));
+        here.on_adds(0, 2, 1, &adds(2));
+        here.on_adds(0, 9, 1, &adds(100));
+        there.count(0, &here.batch());
         expect_that!(
             here.news(50),
             eq(&vec![(1, 1, vec![("t".into(), 7, 5)]), (2, 1, vec![("t".into(), 7, 2)])])
--- a/crates/marker/tests/callers.rs
+++ b/crates/marker/tests/callers.rs
@@ -45,7 +45,7 @@
     tally.open(1, 11);
     for (session, number, n) in [(1, 1, 5), (1, 1, 5), (1, 2, 3), (1, 1, 5), (1, 2, 3), (2, 7, 9), (1, 3, 1)]
     {
-        tally.on_adds(session, number, &adds(n));
+        tally.on_adds(0, session, number, &adds(n));
     }
     expect_that!(tally.news(100), elements_are![eq(&(1, 3, vec![("t".to_owned(), 9, 9)]))]);
     // To the other markers, each once as well.
--- a/crates/marker/tests/common/world.rs
+++ b/crates/marker/tests/common/world.rs
@@ -292,7 +292,11 @@
                     let epoch = view.epoch.as_ref().filter(|_| view.leads).map(|e| e.number);
                     self.answered(id, n, reply, epoch);
                 }
-                Output::Tell(..) | Output::End(_) | Output::Sure(_) | Output::Servers(_) => {}
+                Output::Tell(..)
+                | Output::End(_)
+                | Output::Sure(_)
+                | Output::Servers(_)
+                | Output::Gatekeepers(_) => {}
             }
         }
     }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -8,7 +8,9 @@
 //! configurations are newer by their number, and a server that leaves does so, whoever tells it: they are taken from all.
 
 use crate::Millis;
-use granitelead_control_protocol::words::{Difference, Document, Down, Instance, News, Revision, State, Up};
+use granitelead_control_protocol::words::{
+    Difference, Document, Down, Instance, News, Recent, Revision, State, Up,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
@@ -38,6 +40,8 @@
     Whole,
     /// How many gatekeepers there are, and how many of them are missed.
     Gatekeepers(u32, u32),
+    /// What all gatekeepers that the home hears have let in of late.
+    Recent(Recent),
     /// What all others have let in since this was last told, by tenant.
     Others(Vec<(String, u64)>),
 }
@@ -325,6 +329,10 @@
                 };
                 (change, say)
             }
+            Down::Recent(recent) => {
+                let is_home = self.home == Some(ip);
+                (is_home.then_some(Change::Recent(recent)), Vec::new())
+            }
             Down::Totals(counted, totals) => {
                 if self.home != Some(ip) {
                     return (None, Vec::new());
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -91,7 +91,7 @@
             configuration: None,
             document: None,
             servers: Servers::new(zone, seed),
-            tenants: Tenants::new(seed ^ 2),
+            tenants: Tenants::new(seed ^ 2, bounds.quota_window.as_millis() as Millis),
             room: Room::default(),
             budget: Budget::new(bounds.retry_ratio, bounds.retry_slack, window),
             control,
@@ -130,8 +130,9 @@
             Change::Whole => self.whole = true,
             Change::Gatekeepers(n, missed) => {
                 self.budget.share(n);
-                self.tenants.share(n, missed);
+                self.tenants.share(now, n, missed);
             }
+            Change::Recent(recent) => self.tenants.begin_from(now, &recent),
             Change::Others(news) => self.tenants.hear(now, &news),
         }
         Vec::new()
@@ -249,7 +250,7 @@
         self.take_due(now, &mut say);
         if let Some((all, missed)) = self.control.members() {
             self.budget.share(all);
-            self.tenants.share(all, missed);
+            self.tenants.share(now, all, missed);
         }
         self.tenants.touch(now, self.control.in_touch(now));
         say.extend(self.control.batch(now));
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -82,12 +82,14 @@
         stop_accepting.clone(),
     ));
     spawn_local(tell_readiness(front.clone(), readiness_listener));
-    spawn_local(Sessions::new(front.clone(), settings.internal_port).run());
+    let sessions = Sessions::new(front.clone(), settings.internal_port);
+    spawn_local(sessions.clone().run());
     tokio::select! {
         _ = terminate.recv() => {}
         () = look_after(&front, &connections, hang_up) => {}
     }
     let report = shut_down(&front, &connections, &stop_accepting, settings.bounds.grace).await;
+    sessions.leave().await;
     granitelead_common::logs::write_line(&format!(
         "granitelead-proxy: ends: {report}; broken off: {}",
         front.break_offs
--- a/crates/proxy/src/sessions.rs
+++ b/crates/proxy/src/sessions.rs
@@ -20,6 +20,11 @@
 /// A marker that says nothing for so long is gone: it would have answered three times.
 pub const SILENCE: Duration = Duration::from_millis(1_800);
 
+/// How long the end of the process waits for its last word to be sent, and how often it looks.
+const LEAVE_MAX: Duration = Duration::from_millis(100);
+/// See [`LEAVE_MAX`].
+const LEAVE_TICK: Duration = Duration::from_millis(5);
+
 /// A gatekeeper's sessions with markers.
 pub struct Sessions {
     front: Rc<Front>,
@@ -57,6 +62,18 @@
         }
     }
 
+    /// Says to all markers that the process ends, and completes once that is sent, or soon after.
+    pub async fn leave(&self) {
+        let lines: Vec<Sender> = self.open.borrow().values().cloned().collect();
+        for line in &lines {
+            line.send(&Word::Up(Up::Leave));
+        }
+        let begun = Instant::now();
+        while lines.iter().any(|line| line.unsent() > 0) && begun.elapsed() < LEAVE_MAX {
+            tokio::time::sleep(LEAVE_TICK).await;
+        }
+    }
+
     fn say(&self, words: impl IntoIterator<Item = (Ipv4Addr, Up)>) {
         let open = self.open.borrow();
         for (ip, word) in words {
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -2,9 +2,15 @@
 //!
 //! What the others let in comes as totals. A gatekeeper that does not hear them keeps to its even part of each quota,
 //! and those that miss it leave that part to it: on both sides of a cut together the quota holds.
+//!
+//! Whoever begins to count anew (its process has started, it counts with another marker, a tenant is seen for the first
+//! time) begins from what all let in in the last window, and never from a full store; what was let in beyond a quota stays
+//! owed through every such change.
 
 use crate::Millis;
 use granitelead_common::configuration::Tenant;
+use granitelead_common::recent_use::RecentUse;
+use granitelead_control_protocol::words::Recent;
 use granitelead_decisions::{Customer, CustomerId, Plan};
 use std::collections::HashMap;
 
@@ -19,8 +25,12 @@
 /// Part of a burst that the store holds: the rest is what may be let in unseen, as words of others are late, while a
 /// tenant begins to ask too much, a cut begins and a home is lost, all within the rule's window.
 const STORE: f64 = 0.6;
-/// Part of the store that is taken to be left where what was let in just before is not known.
+/// Part of the store that is taken to be left at the begin of what is known of a tenant's use.
 const FRESH: f64 = 0.15;
+/// How many gatekeepers there are as long as no marker has said.
+const GATEKEEPERS_UNTOLD: u32 = 64;
+/// How long those that are now missed let in requests without being heard, before they were missed, seconds.
+const UNHEARD: f64 = 1.0;
 /// Least burst, in seconds of the rate, and in requests.
 const BURST: (f64, f64) = (0.2, 1.0);
 /// Time, ms, after which what was let in counts a third in the parts of all.
@@ -41,7 +51,7 @@
     unheard: u32,
     heard: Millis,
     /// Whether the others were not heard of yet since it began anew.
-    fresh: bool,
+    is_fresh: bool,
     /// Let in here and by the others, of late.
     lately: (f64, f64),
     /// Let in, and refused, by this process.
@@ -50,21 +60,39 @@
 }
 
 impl Entry {
-    fn new(customer: Customer, plan: Plan, now: Millis) -> Entry {
-        let room = customer.left();
-        Entry {
-            customer,
-            plan,
+    /// One that is seen for the first time, of whose store so much is left for all that share it.
+    fn new(name: &str, whole: Plan, part: f64, gatekeepers: f64, level: f64, now: Millis) -> Entry {
+        let mut entry = Entry {
+            customer: Customer::default(),
+            plan: whole,
             seen: now,
-            room,
+            room: 0.0,
             room_at: now,
             unheard: 0,
             heard: now,
-            fresh: false,
+            is_fresh: true,
             lately: (0.0, 0.0),
             admitted: 0,
             refused: 0,
-        }
+        };
+        entry.begin(name, part, gatekeepers, level, now);
+        entry
+    }
+
+    /// Begins to count anew, with others than before: its part of the quota, and what is left of it.
+    fn begin(&mut self, name: &str, part: f64, gatekeepers: f64, level: f64, now: Millis) {
+        let (open, plan) = (self.customer.open, scaled(&self.plan, part));
+        self.customer = Customer::new(&plan, &CustomerId(name.to_owned()), 1.0, micros(now), micros(now));
+        self.customer.open = open;
+        self.customer.drain_to(level);
+        (self.lately, self.is_fresh, self.room_at) = ((0.0, 0.0), true, now);
+        self.room = level.max(0.0) * self.share(gatekeepers);
+    }
+
+    /// Takes units as used that nobody has counted here.
+    fn spend(&mut self, units: f64) {
+        let left = self.customer.left();
+        self.customer.drain_to(left - units);
     }
 
     fn standing(&self) -> Standing {
@@ -121,6 +149,11 @@
     gatekeepers: u32,
     missed: u32,
     in_touch: bool,
+    /// What all that are heard let in of late, this gatekeeper included; out of touch it is not followed.
+    recent: RecentUse,
+    /// Since when it counts alone, where it does.
+    alone_since: Millis,
+    window: Millis,
     swept: Millis,
     rng: fastrand::Rng,
 }
@@ -130,39 +163,89 @@
 }
 
 impl Tenants {
-    /// None yet, and no word of what the others let in.
-    pub fn new(seed: u64) -> Tenants {
-        let rng = fastrand::Rng::with_seed(seed);
-        Tenants { table: HashMap::new(), gatekeepers: 1, missed: 0, in_touch: false, swept: 0, rng }
+    /// None yet, and no word of what the others let in; quotas are judged by such a window, ms.
+    pub fn new(seed: u64, window: Millis) -> Tenants {
+        Tenants {
+            table: HashMap::new(),
+            gatekeepers: GATEKEEPERS_UNTOLD,
+            missed: 0,
+            in_touch: false,
+            recent: RecentUse::new(window, 0),
+            alone_since: 0,
+            window,
+            swept: 0,
+            rng: fastrand::Rng::with_seed(seed),
+        }
     }
 
-    /// So many gatekeepers share each quota, of which so many are not heard by the others.
-    pub fn share(&mut self, gatekeepers: u32, missed: u32) {
+    /// So many gatekeepers share each quota, of which so many are not heard by the others. Those that are missed now were
+    /// not heard for a while before, and let in their part meanwhile.
+    pub fn share(&mut self, now: Millis, gatekeepers: u32, missed: u32) {
+        self.recent.grant(now, self.part());
+        let more = missed.saturating_sub(self.missed);
         (self.gatekeepers, self.missed) = (gatekeepers.max(1), missed);
+        if more > 0 && self.in_touch {
+            let unheard = UNHEARD * f64::from(more) / f64::from(self.gatekeepers);
+            self.table.values_mut().for_each(|entry| entry.spend(entry.plan.rate * unheard));
+        }
+    }
+
+    /// The marker that counts from now on tells what all let in of late.
+    pub fn begin_from(&mut self, now: Millis, recent: &Recent) {
+        self.recent.replace(now, recent.span, recent.granted, &recent.used);
     }
 
     /// Whether what the others let in is known.
     pub fn touch(&mut self, now: Millis, in_touch: bool) {
         if in_touch != self.in_touch {
-            self.in_touch = in_touch;
-            // Counts of before are of another kind: each entry begins anew, with its part only.
-            let (n, part) = (self.sharing(), self.part());
-            for (name, entry) in &mut self.table {
-                let plan = scaled(&entry.plan, part);
-                let open = entry.customer.open;
-                entry.customer = Customer::new(&plan, &CustomerId(name.clone()), n, micros(now), micros(now));
-                entry.customer.open = open;
-                // What was let in just before is not known any more: most of the store is taken as spent.
-                entry.customer.drain_to(plan.burst * FRESH);
-                (entry.room, entry.fresh) = (entry.customer.left(), true);
-            }
+            self.turn(now, in_touch);
         }
         if now > self.swept + IDLE / 16 {
             self.swept = now;
+            self.recent.forget_idle(now);
             self.table.retain(|_, entry| entry.customer.open > 0.0 || now < entry.seen + IDLE);
         }
     }
 
+    /// Counts with the others from now on, or alone: counts of before are of another kind, and each entry begins anew. What
+    /// was let in beyond the quota stays owed.
+    fn turn(&mut self, now: Millis, in_touch: bool) {
+        let before = self.part();
+        self.recent.grant(now, before);
+        self.in_touch = in_touch;
+        if !in_touch {
+            self.alone_since = now;
+        }
+        let (n, part) = (self.sharing(), self.part());
+        let is_known = in_touch && self.recent.is_whole(now);
+        let names: Vec<String> = self.table.keys().cloned().collect();
+        for name in names {
+            let level = self.beginning(now, &name);
+            let Some(entry) = self.table.get_mut(&name) else { continue };
+            entry.customer.advance(&scaled(&entry.plan, before), micros(now), false);
+            let carried = entry.customer.left() * part / before;
+            // Where a whole window is known it holds what is owed as well.
+            let level = if is_known { level } else { level.min(carried) };
+            entry.begin(&name, part, n, level, now);
+        }
+    }
+
+    /// What is left of a tenant's store for those that count together here, where nothing is known but what they let in
+    /// in the last window: whoever refuses from then on keeps to the quota in each window.
+    fn beginning(&self, now: Millis, tenant: &str) -> f64 {
+        let Some(entry) = self.table.get(tenant) else { return 0.0 };
+        self.level_of(now, tenant, &scaled(&entry.plan, self.part()))
+    }
+
+    fn level_of(&self, now: Millis, tenant: &str, plan: &Plan) -> f64 {
+        let (span, used) = if self.in_touch {
+            (self.recent.granted(now, self.part()) / self.part(), self.recent.used(now, tenant) as f64)
+        } else {
+            (now.saturating_sub(self.alone_since).min(self.window) as f64, 0.0)
+        };
+        (FRESH * plan.burst + plan.rate * span / 1e3 - used).min(STORE * plan.burst)
+    }
+
     /// The part of each quota that those share who hear each other; alone, the even part of one.
     fn part(&self) -> f64 {
         let all = f64::from(self.gatekeepers);
@@ -198,13 +281,15 @@
             if self.table.len() >= TABLE_MAX {
                 return Some(ADVICE);
             }
-            let customer = Customer::new(&plan, &CustomerId(tenant.name.clone()), n, at, at);
-            self.table.insert(tenant.name.clone(), Entry::new(customer, whole.clone(), now));
+            let level = self.level_of(now, &tenant.name, &plan);
+            let entry = Entry::new(&tenant.name, whole.clone(), part, n, level, now);
+            self.table.insert(tenant.name.clone(), entry);
         }
+        let most = self.level_of(now, &tenant.name, &plan);
         let entry = self.table.get_mut(&tenant.name)?;
         (entry.plan, entry.seen) = (whole, now);
         entry.customer.advance(&plan, at, false);
-        entry.customer.drain_to(plan.burst * STORE);
+        entry.customer.drain_to(most);
         let mut wait = entry.customer.beyond(&plan, 1.0, 0.0, at, self.rng.f64());
         if wait.is_none() && !entry.has_room(now, &plan, n) {
             wait = Some(ROOM * 1_000);
@@ -217,6 +302,9 @@
             entry.room -= 1.0;
             entry.unheard += 1;
             entry.lately.0 += 1.0;
+            if self.in_touch {
+                self.recent.add(now, &tenant.name, 1);
+            }
         }
         wait.map(|wait| (wait / 1_000).clamp(1, ADVICE))
     }
@@ -224,14 +312,18 @@
     /// What the others have let in since the last word; what is not named is as it was.
     pub fn hear(&mut self, now: Millis, news: &[(String, u64)]) {
         let (n, part, at) = (self.sharing(), self.part(), micros(now));
+        self.recent.grant(now, part);
+        news.iter().for_each(|(tenant, others)| self.recent.add(now, tenant, *others));
         let news: HashMap<&str, u64> = news.iter().map(|(name, n)| (name.as_str(), *n)).collect();
         for (name, entry) in &mut self.table {
             let others = news.get(name.as_str()).copied().unwrap_or(0) as f64;
             let plan = scaled(&entry.plan, part);
             entry.customer.advance(&plan, at, false);
+            let left = entry.customer.left();
             entry.customer.hear(&plan, others, true, -DEEPEST * plan.burst, at);
-            if std::mem::take(&mut entry.fresh) {
-                entry.customer.drain_to(plan.burst * FRESH);
+            if std::mem::take(&mut entry.is_fresh) {
+                // The first word would else begin with a store of its own.
+                entry.customer.drain_to(left - others);
             }
             let keeps = (-(now.saturating_sub(entry.heard) as f64) / LATELY).exp();
             entry.lately = (entry.lately.0 * keeps, entry.lately.1 * keeps + others);
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -4,7 +4,7 @@
 //! What is sent over a link that is cut waits, as TCP holds it; a line or session that hears nothing for about two seconds breaks,
 //! and what waited on it is lost. Each direction of a link is cut by itself.
 //!
-//! Cells of a marker or gatekeeper: `up`, `kill` (ends the process; its peers see it), `power` (they don't), `cut` (both ways:
+//! Cells of a marker or gatekeeper: `up`, `end` (of a gatekeeper: it says that it ends), `kill` (ends the process; its peers see it), `power` (they don't), `cut` (both ways:
 //! of a gatekeeper from all markers, of a marker from the others), `join` (ends all cuts of it; `back`: only the others'
 //! lines to it break). Of a marker also `join m2`, `deaf` (hears no other marker), `mute` (no other marker hears it), `alone` (cut from
 //! markers and gatekeepers), `cut gates` (from these only), `cut servers` and `cut operators`; of a gatekeeper `cut m1`.
@@ -48,6 +48,8 @@
     pub marker: Option<Marker>,
     disk: Option<Keeping>,
     servers: Vec<Instance>,
+    /// The gatekeepers that its disk names.
+    gatekeepers: Vec<String>,
     start: u32,
     /// Sessions that stand here: whose, and when it was heard last.
     sessions: BTreeMap<u64, (usize, u64)>,
@@ -182,6 +184,7 @@
             marker: None,
             disk: None,
             servers: Vec::new(),
+            gatekeepers: Vec::new(),
             start: 0,
             sessions: BTreeMap::new(),
         };
@@ -286,7 +289,8 @@
                 let (board, seed) = (&mut self.boards[n], self.rng.u64(..));
                 let keeping = board.disk.clone().unwrap_or_else(|| begin(board.ip, &seeds, true, seed));
                 let core = Core::new(keeping, &seeds, (boards - 1) / 2, seed, self.now);
-                board.marker = Some(Marker::new(core, format!("zone-{n}"), 1_500, board.servers.clone()));
+                let marker = Marker::new(core, format!("zone-{n}"), 1_500, board.servers.clone());
+                board.marker = Some(marker.remembering(board.gatekeepers.clone(), 5_000));
                 board.start += 1;
                 // What stood to its former life is reset.
                 for other in self.others(n) {
@@ -360,10 +364,14 @@
                 for (ip, (id, _)) in std::mem::take(&mut self.columns[g].sessions) {
                     let m = self.board(ip).unwrap();
                     if what == "kill" && !self.is_cut(n, m) {
-                        self.closed(m, id, true);
+                        self.closed(m, id);
                     }
                 }
             }
+            (Some(g), ["end"]) => {
+                let words = self.columns[g].sessions.keys().map(|ip| (*ip, Up::Leave)).collect();
+                self.say(g, words);
+            }
             (Some(_), ["cut"]) => (0..boards).for_each(|m| self.cuts.extend([(n, m), (m, n)])),
             (Some(_), ["cut", m]) => {
                 let m = self.number(m);
@@ -380,9 +388,9 @@
     }
 
     /// A session ends on the marker's side.
-    fn closed(&mut self, m: usize, id: u64, left: bool) {
+    fn closed(&mut self, m: usize, id: u64) {
         if self.boards[m].sessions.remove(&id).is_some() {
-            self.step(m, |marker, _, out| marker.on_closed(id, left, out));
+            self.step(m, |marker, _, _| marker.on_closed(id));
         }
     }
 
@@ -393,7 +401,7 @@
         self.columns[g].told.remove(&ip);
         let say = self.columns[g].gate.as_mut().map(|gate| gate.control.close(ip));
         if !self.is_cut(self.gate(g), m) {
-            self.closed(m, id, true);
+            self.closed(m, id);
         }
         self.say(g, say.into_iter().flatten().collect());
     }
@@ -453,6 +461,7 @@
                         self.boards[n].servers = servers;
                     }
                 }
+                Output::Gatekeepers(names) => self.boards[n].gatekeepers = names,
                 Output::End(_) | Output::Sure(_) => {}
             }
         }
@@ -613,7 +622,7 @@
             let silent = self.boards[m].sessions.iter().filter(|(_, (_, heard))| self.now > heard + BREAKS);
             let silent: Vec<(u64, usize)> = silent.map(|(id, (g, _))| (*id, *g)).collect();
             for (id, g) in silent {
-                self.closed(m, id, false);
+                self.closed(m, id);
                 let ip = self.boards[m].ip;
                 let same = self.columns[g].sessions.get(&ip).is_some_and(|s| s.0 == id);
                 if same && !self.is_cut(m, self.gate(g)) {
--- a/crates/proxy/tests/quota.rs
+++ b/crates/proxy/tests/quota.rs
@@ -135,7 +135,8 @@
     fn restart_one_by_one(&mut self, at: u64) {
         let gap = self.rng.u64(300..1_000);
         for (n, g) in self.gatekeepers(1.0).into_iter().enumerate() {
-            self.at(at + n as u64 * gap, Act::Do(g, "kill"));
+            self.at(at + n as u64 * gap, Act::Do(g, "end"));
+            self.at(at + n as u64 * gap + 10, Act::Do(g, "kill"));
             self.at(at + n as u64 * gap + 400, Act::Do(g, "up"));
         }
     }
