Tell what was used of late by slots, and hold those that count already less strictly

Ruled out: the parts (they add up there, by the half seconds that are printed). Change: Down::Recent carries the twenty slots; who begins may let in 0.15 of a burst beyond what the window leaves, who counts already 0.4.

--- a/crates/common/src/recent_use.rs
+++ b/crates/common/src/recent_use.rs
@@ -5,6 +5,7 @@
 //! Whoever begins to count a shared quota anew, as its process has started or it counts with others than before, begins
 //! from this and not from a full store. Times are milliseconds of the holder's own clock.
 
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
 /// Slots of a window.
@@ -35,11 +36,36 @@
         self.slots[place] = self.slots[place].saturating_add(n.min(u64::from(u32::MAX)) as u32);
     }
 
+    fn oldest_first(&self) -> Vec<u32> {
+        (1..=SLOTS as u64).map(|step| self.slots[((self.newest + step) % SLOTS as u64) as usize]).collect()
+    }
+
+    /// From slots with the oldest first, of which the last is the newest; what is too much is of no slot.
+    fn of(newest: u64, oldest_first: &[u32]) -> Counts {
+        let mut counts = Counts { newest, slots: [0; SLOTS] };
+        for (age, n) in oldest_first.iter().rev().take(SLOTS).enumerate() {
+            let place = (newest + SLOTS as u64 - age as u64) % SLOTS as u64;
+            counts.slots[place as usize] = *n;
+        }
+        counts
+    }
+
     fn sum(&self) -> u64 {
         self.slots.iter().map(|n| u64::from(*n)).sum()
     }
 }
 
+/// What is known of the last window, in slots of a twentieth of it, the oldest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// For how long before now it is known, milliseconds.
+    pub span: u64,
+    /// For how much of each slot the whole of each quota was granted, microseconds.
+    pub granted: Vec<u32>,
+    /// What was used in each slot, by tenant.
+    pub used: Vec<(String, Vec<u32>)>,
+}
+
 /// What each tenant used in the last window, as far as it is known.
 pub struct RecentUse {
     slot: u64,
@@ -117,30 +143,24 @@
         })
     }
 
-    /// What all tenants used, without those that used nothing.
-    pub fn all(&mut self, now: u64) -> Vec<(String, u64)> {
+    /// What is known of the window, for another to begin from; `part` of each quota is granted since
+    /// [`RecentUse::grant`] was last called.
+    pub fn known(&mut self, now: u64, part: f64) -> Known {
+        self.grant(now, part);
         self.forget_idle(now);
-        let mut all: Vec<_> = self.table.iter().map(|(name, counts)| (name.clone(), counts.sum())).collect();
-        all.sort();
-        all
-    }
-
-    /// Takes over what another knows of the last `span` milliseconds: for how many of them the whole quota was granted, and
-    /// what was used, which is spread evenly over them.
-    pub fn replace(&mut self, now: u64, span: u64, granted: u64, used: &[(String, u64)]) {
-        let span = span.min(self.window());
-        let slots = (span / self.slot).clamp(1, SLOTS as u64);
-        self.since = now.saturating_sub(span);
-        self.granted = Counts { newest: now.saturating_sub(span) / self.slot, ..Counts::default() };
-        self.granted_at = now;
-        self.table.clear();
-        for place in (0..slots).rev() {
-            // The rest goes to the newest slot.
-            let part = |n: u64| if place == 0 { n - n / slots * (slots - 1) } else { n / slots };
-            let at = now.saturating_sub(place * self.slot);
-            self.granted.add(at / self.slot, part(granted * 1_000));
-            used.iter().for_each(|(tenant, n)| self.add(at, tenant, part(*n)));
-        }
+        let mut used: Vec<_> =
+            self.table.iter().map(|(name, counts)| (name.clone(), counts.oldest_first())).collect();
+        used.sort();
+        Known { span: self.span(now), granted: self.granted.oldest_first(), used }
+    }
+
+    /// Takes over what another knows. Its slots begin at other moments: they are off by one slot at the most.
+    pub fn replace(&mut self, now: u64, known: &Known) {
+        let slot = now / self.slot;
+        self.since = now.saturating_sub(known.span.min(self.window()));
+        (self.granted, self.granted_at) = (Counts::of(slot, &known.granted), now);
+        let used = known.used.iter().take(TENANTS_MAX);
+        self.table = used.map(|(tenant, slots)| (tenant.clone(), Counts::of(slot, slots))).collect();
     }
 
     /// Forgets those that used nothing in the last window.
@@ -170,23 +190,27 @@
         expect_that!(recent.used(60_000, "u"), eq(0));
         expect_that!(recent.span(60_100), eq(5_000));
         expect_true!(recent.is_whole(60_100) && !recent.is_whole(3_000));
-        expect_true!(recent.all(60_000).is_empty());
+        expect_true!(recent.known(60_000, 1.0).used.is_empty());
     }
 
     #[gtest]
-    fn what_another_knows_is_taken_over_and_ages_out_by_parts() {
-        let mut recent = RecentUse::new(5_000, 0);
-        recent.add(100, "u", 9);
-        recent.replace(10_000, 2_000, 1_500, &[("t".into(), 83)]);
-        expect_that!(recent.used(10_000, "t"), eq(83));
-        expect_that!(recent.used(10_000, "u"), eq(0));
-        expect_that!(recent.span(11_000), eq(3_000));
-        expect_that!(recent.granted(10_000, 1.0), near(1_500.0, 1.0));
-        recent.grant(11_000, 0.5);
-        expect_that!(recent.granted(11_000, 0.5), near(2_000.0, 1.0));
-        recent.grant(60_100, 1.0);
-        expect_that!(recent.granted(60_100, 1.0), near(4_850.0, 1.0));
-        expect_that!(recent.used(14_000, "t"), all![lt(83), gt(0)]);
-        expect_that!(recent.used(15_000, "t"), eq(0));
+    fn what_another_knows_is_taken_over_and_ages_out_as_it_does_there() {
+        let mut there = RecentUse::new(5_000, 8_000);
+        there.grant(9_000, 0.5);
+        there.add(8_100, "t", 60);
+        there.add(9_900, "t", 23);
+        let mut here = RecentUse::new(5_000, 0);
+        here.add(100, "u", 9);
+        here.replace(20_000, &there.known(10_000, 1.0));
+        expect_that!(here.used(20_000, "t"), eq(83));
+        expect_that!(here.used(20_000, "u"), eq(0));
+        expect_that!(here.span(21_000), eq(3_000));
+        expect_that!(here.granted(20_000, 1.0), near(1_500.0, 1.0));
+        here.grant(21_000, 0.5);
+        expect_that!(here.granted(21_000, 0.5), near(2_000.0, 1.0));
+        expect_that!(here.used(23_500, "t"), eq(23));
+        expect_that!(here.used(25_500, "t"), eq(0));
+        here.grant(70_100, 1.0);
+        expect_that!(here.granted(70_100, 1.0), near(4_850.0, 1.0));
     }
 }
--- a/crates/control-protocol/src/words.rs
+++ b/crates/control-protocol/src/words.rs
@@ -1,5 +1,6 @@
 //! Every message between two processes of the system.
 
+use granitelead_common::recent_use::Known;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 use std::collections::BTreeMap;
@@ -351,17 +352,6 @@
     Leave,
 }
 
-/// What gatekeepers that count together let in of late, in the quotas' window.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Recent {
-    /// For how long before now it is known, ms.
-    pub span: u64,
-    /// For how much of that time the whole of each quota was theirs, ms: half of it for twice as long counts the same.
-    pub granted: u64,
-    /// By tenant.
-    pub used: Vec<(String, u64)>,
-}
-
 /// What a marker says to a gatekeeper.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Down {
@@ -373,7 +363,7 @@
     /// Nothing, to be heard.
     Pong,
     /// What all gatekeepers that are heard let in before the first totals.
-    Recent(Recent),
+    Recent(Known),
 }
 
 /// What changes at a gatekeeper.
--- a/crates/marker/src/tally.rs
+++ b/crates/marker/src/tally.rs
@@ -6,8 +6,7 @@
 //! not from a full store.
 
 use crate::parts::{Millis, SessionId};
-use granitelead_common::recent_use::RecentUse;
-use granitelead_control_protocol::words::Recent;
+use granitelead_common::recent_use::{Known, RecentUse};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Tenants that are counted at once.
@@ -132,7 +131,7 @@
     }
 
     /// What those that have made this marker their home since the last time are told first: what was let in of late.
-    pub fn beginnings(&mut self, now: Millis) -> Vec<(SessionId, Recent)> {
+    pub fn beginnings(&mut self, now: Millis) -> Vec<(SessionId, Known)> {
         let begin = self
             .homes
             .iter_mut()
@@ -141,8 +140,7 @@
         if begin.is_empty() {
             return Vec::new();
         }
-        let granted = self.recent.granted(now, self.part) as Millis;
-        let recent = Recent { span: self.recent.span(now), granted, used: self.recent.all(now) };
+        let recent = self.recent.known(now, self.part);
         begin.into_iter().map(|session| (session, recent.clone())).collect()
     }
 
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -8,9 +8,8 @@
 //! configurations are newer by their number, and a server that leaves does so, whoever tells it: they are taken from all.
 
 use crate::Millis;
-use granitelead_control_protocol::words::{
-    Difference, Document, Down, Instance, News, Recent, Revision, State, Up,
-};
+use granitelead_common::recent_use::Known;
+use granitelead_control_protocol::words::{Difference, Document, Down, Instance, News, Revision, State, Up};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
@@ -41,7 +40,7 @@
     /// How many gatekeepers there are, and how many of them are missed.
     Gatekeepers(u32, u32),
     /// What all gatekeepers that the home hears have let in of late.
-    Recent(Recent),
+    Recent(Known),
     /// What all others have let in since this was last told, by tenant.
     Others(Vec<(String, u64)>),
 }
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -9,8 +9,7 @@
 
 use crate::Millis;
 use granitelead_common::configuration::Tenant;
-use granitelead_common::recent_use::RecentUse;
-use granitelead_control_protocol::words::Recent;
+use granitelead_common::recent_use::{Known, RecentUse};
 use granitelead_decisions::{Customer, CustomerId, Plan};
 use std::collections::HashMap;
 
@@ -25,8 +24,11 @@
 /// Part of a burst that the store holds: the rest is what may be let in unseen, as words of others are late, while a
 /// tenant begins to ask too much, a cut begins and a home is lost, all within the rule's window.
 const STORE: f64 = 0.6;
-/// Part of the store that is taken to be left at the begin of what is known of a tenant's use.
+/// Part of a burst that is taken to be left at the begin of what is known of a tenant's use, and of what one that begins to
+/// count may let in beyond what the window leaves.
 const FRESH: f64 = 0.15;
+/// The same for one that counts already: what the rule leaves beyond it is for what is let in unseen.
+const WINDOW_SPARE: f64 = 0.4;
 /// How many gatekeepers there are as long as no marker has said.
 const GATEKEEPERS_UNTOLD: u32 = 64;
 /// How long those that are now missed let in requests without being heard, before they were missed, seconds.
@@ -191,8 +193,8 @@
     }
 
     /// The marker that counts from now on tells what all let in of late.
-    pub fn begin_from(&mut self, now: Millis, recent: &Recent) {
-        self.recent.replace(now, recent.span, recent.granted, &recent.used);
+    pub fn begin_from(&mut self, now: Millis, recent: &Known) {
+        self.recent.replace(now, recent);
     }
 
     /// Whether what the others let in is known.
@@ -234,16 +236,16 @@
     /// in the last window: whoever refuses from then on keeps to the quota in each window.
     fn beginning(&self, now: Millis, tenant: &str) -> f64 {
         let Some(entry) = self.table.get(tenant) else { return 0.0 };
-        self.level_of(now, tenant, &scaled(&entry.plan, self.part()))
+        self.level_of(now, tenant, &scaled(&entry.plan, self.part()), FRESH)
     }
 
-    fn level_of(&self, now: Millis, tenant: &str, plan: &Plan) -> f64 {
+    fn level_of(&self, now: Millis, tenant: &str, plan: &Plan, spare: f64) -> f64 {
         let (span, used) = if self.in_touch {
             (self.recent.granted(now, self.part()) / self.part(), self.recent.used(now, tenant) as f64)
         } else {
             (now.saturating_sub(self.alone_since).min(self.window) as f64, 0.0)
         };
-        (FRESH * plan.burst + plan.rate * span / 1e3 - used).min(STORE * plan.burst)
+        (spare * plan.burst + plan.rate * span / 1e3 - used).min(STORE * plan.burst)
     }
 
     /// The part of each quota that those share who hear each other; alone, the even part of one.
@@ -281,11 +283,11 @@
             if self.table.len() >= TABLE_MAX {
                 return Some(ADVICE);
             }
-            let level = self.level_of(now, &tenant.name, &plan);
+            let level = self.level_of(now, &tenant.name, &plan, FRESH);
             let entry = Entry::new(&tenant.name, whole.clone(), part, n, level, now);
             self.table.insert(tenant.name.clone(), entry);
         }
-        let most = self.level_of(now, &tenant.name, &plan);
+        let most = self.level_of(now, &tenant.name, &plan, WINDOW_SPARE);
         let entry = self.table.get_mut(&tenant.name)?;
         (entry.plan, entry.seen) = (whole, now);
         entry.customer.advance(&plan, at, false);
