Leave no server at work before the last sixth of the grace period

Ruled out: the grace period of the given deployments (6 s and more: 600 ms lie in the last sixth). Change: the margins are 600 and 300 ms, a sixth and a twelfth of the grace period at the most. Figures: at 3 s of grace servers were left at 2.4 s, now at 2.5; at 6 s as before, 5.4.

--- a/crates/proxy/src/drain.rs
+++ b/crates/proxy/src/drain.rs
@@ -8,6 +8,9 @@
 
 /// Time between the last answers and the end of the grace period: for them to be written, and delivered.
 const ANSWER_MARGIN: Millis = 600;
+/// The last part of the grace period, one in so many: a server that is still at work then is not held against this
+/// process, before it is.
+const LAST_PART: Millis = 6;
 /// Time before the end of the grace period at which the process ends in any case.
 const END_MARGIN: Millis = 300;
 /// How long requests are let in by the usual time of their service alone. A server that is still at work on one of
@@ -38,12 +41,12 @@
 
     /// When requests that have no answer yet are answered without waiting for their servers any longer.
     pub fn gives_up_at(&self) -> Millis {
-        self.begun + self.grace.saturating_sub(ANSWER_MARGIN)
+        self.begun + self.grace - ANSWER_MARGIN.min(self.grace / LAST_PART)
     }
 
     /// When the process ends whatever is left.
     pub fn ends_at(&self) -> Millis {
-        self.begun + self.grace.saturating_sub(END_MARGIN)
+        self.begun + self.grace - END_MARGIN.min(self.grace / LAST_PART / 2)
     }
 
     /// Until when a request may take that would have had until `deadline`, at a service that usually takes `usual`;
@@ -77,6 +80,14 @@
         }
     }
 
+    #[gtest]
+    fn no_server_at_work_is_left_before_the_last_sixth_of_the_grace_period() {
+        for grace in [1, 600, 2_000, 3_000, 3_599, 6_000, 30_000] {
+            let left = Drain::new(7, grace).gives_up_at() - 7;
+            expect_that!(left * 6, ge(grace * 5), "{grace}");
+        }
+    }
+
     #[gtest]
     fn the_phases_come_in_order_however_short_the_grace_period_is() {
         for grace in [0, 1, 200, 500, 1_000, 6_000, 10_000, 600_000] {
