Take a small part of the retry budget, not all of it, until told how many share it

Ruled out: the number falling in a cut (it stands while markers count apart). Change: 64 gatekeepers until told, as for quotas. Figures: further tries in the first 10 s of a process that was told nothing: up to 65 by the budget's arithmetic before, 2 at the most now (unit test).

--- a/crates/proxy/src/budget.rs
+++ b/crates/proxy/src/budget.rs
@@ -9,6 +9,9 @@
 /// Part of what the rule allows that is used.
 const USED: f64 = 0.7;
 
+/// How many gatekeepers there are as long as no marker has said.
+pub const GATEKEEPERS_UNTOLD: u32 = 64;
+
 struct Purse {
     tokens: f64,
     at: Millis,
@@ -26,7 +29,13 @@
 impl Budget {
     /// By the rule's figures.
     pub fn new(ratio: f64, slack: f64, window: Millis) -> Budget {
-        Budget { ratio, slack, window: window.max(1), gatekeepers: 1, purses: BTreeMap::new() }
+        Budget {
+            ratio,
+            slack,
+            window: window.max(1),
+            gatekeepers: GATEKEEPERS_UNTOLD,
+            purses: BTreeMap::new(),
+        }
     }
 
     /// So many gatekeepers share it.
@@ -79,6 +88,13 @@
     use super::*;
     use googletest::prelude::*;
 
+    #[gtest]
+    fn a_gatekeeper_that_was_told_of_no_others_does_not_take_all_of_the_slack() {
+        let mut budget = Budget::new(0.2, 62.0, 10_000);
+        let spent = (0..10_000).filter(|now| budget.spend(*now, "s")).count();
+        expect_that!(spent, le(2));
+    }
+
     #[gtest]
     fn all_gatekeepers_that_try_as_often_as_they_may_stay_within_the_rule() {
         let (gatekeepers, requests) = (11, 40);
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -7,6 +7,7 @@
 //! time) begins from what all let in in the last window, and never from a full store; what was let in beyond a quota stays
 //! owed through every such change.
 
+use crate::budget::GATEKEEPERS_UNTOLD;
 use crate::Millis;
 use granitelead_common::configuration::Tenant;
 use granitelead_common::recent_use::{Known, RecentUse};
@@ -29,8 +30,6 @@
 const FRESH: f64 = 0.15;
 /// The same for one that counts already: what the rule leaves beyond it is for what is let in unseen.
 const WINDOW_SPARE: f64 = 0.4;
-/// How many gatekeepers there are as long as no marker has said.
-const GATEKEEPERS_UNTOLD: u32 = 64;
 /// How long those that are now missed let in requests without being heard, before they were missed, seconds.
 const UNHEARD: f64 = 1.0;
 /// Least burst, in seconds of the rate, and in requests.
