--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -6,6 +6,7 @@
 use crate::pool::names;
 use crate::room::Room;
 use crate::servers::Servers;
+use crate::split::Splits;
 use crate::tenants::Tenants;
 use crate::Millis;
 use granitelead_common::configuration::{self, Configuration, Route};
@@ -70,6 +71,8 @@
     pub servers: Servers,
     /// The tenants.
     pub tenants: Tenants,
+    /// Which of its services each route goes to next.
+    splits: Splits,
     /// How much each service may have under way from here.
     pub room: Room,
     /// Further tries.
@@ -92,6 +95,7 @@
             document: None,
             servers: Servers::new(zone, seed),
             tenants: Tenants::new(seed ^ 2, bounds.quota_window.as_millis() as Millis),
+            splits: Splits::default(),
             room: Room::default(),
             budget: Budget::new(bounds.retry_ratio, bounds.retry_slack, window),
             control,
@@ -200,15 +204,18 @@
         }
         let told = headers.get(names::DEADLINE).and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
         let time = told.map_or(route.timeout, Duration::from_millis).min(route.timeout);
-        let service = self.draw(&configuration, route).ok_or(Refusal::from(Kind::NoRoom))?;
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let place = configuration.hosts[&host].iter().position(|r| r.prefix == route.prefix).unwrap_or(0);
+        let dice = self.rng.f64();
+        let service = self.splits.next(configuration.version, &host, place, route, dice);
+        let service = service.and_then(|place| configuration.services.get(place));
+        let service = service.map(|service| service.name.clone()).ok_or(Refusal::from(Kind::NoRoom))?;
         let mut deadline = now + (time.as_millis() as Millis).saturating_sub(MARGIN);
         if let Some(drain) = &self.drain {
             let aim = route.target.as_millis() as Millis;
             let usual = self.servers.typical(&service, aim).map_or(aim, |usual| usual as Millis);
             deadline = drain.deadline(now, deadline, usual).ok_or(Refusal::from(Kind::NoRoom))?;
         }
-        let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
-        let place = configuration.hosts[&host].iter().position(|r| r.prefix == route.prefix).unwrap_or(0);
         let pass = Pass {
             service,
             tenant: tenant.map(|t| t.name.clone()),
@@ -257,18 +264,6 @@
         say
     }
 
-    /// One of a route's services, by weight.
-    fn draw(&mut self, configuration: &Configuration, route: &Route) -> Option<String> {
-        let sum: f64 = route.split.iter().map(|(_, weight)| weight).sum();
-        let mut at = self.rng.f64() * sum;
-        let drawn = route.split.iter().find(|(_, weight)| {
-            at -= weight;
-            at <= 0.0 && *weight > 0.0
-        });
-        let (place, _) = drawn.or(route.split.first())?;
-        configuration.services.get(*place).map(|service| service.name.clone())
-    }
-
     /// When to come back after a refusal, ms: after what is known to be needed, or a part of the aim; drawn, so that
     /// nothing returns in step.
     pub fn come_back(&mut self, aim: Millis, wait: Option<Millis>) -> Millis {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod servers;
 pub mod sessions;
 pub mod shutdown;
+pub mod split;
 pub mod tenants;
 
 use std::process::ExitCode;
