Have the end of a server reach those that know it, whoever is told

A marker that did not know a server (it had heard nothing of it over a broken link, or had just started) acknowledged its end and told nobody. Ruled out: acknowledgements out of contact (503 there), drains of servers that are known (answered once most of the core say that all know). Change: such an end is taken in without address or service, told on, and acknowledged like any other; whoever knows the server takes its end only.

--- a/crates/control-protocol/src/words.rs
+++ b/crates/control-protocol/src/words.rs
@@ -239,6 +239,32 @@
     pub cold_ms: u64,
 }
 
+impl Instance {
+    /// The end of a life of which nothing else is known here: whoever knows it takes only its end.
+    pub fn ended(id: &str) -> Instance {
+        Instance {
+            id: id.to_owned(),
+            service: String::new(),
+            address: String::new(),
+            zone: String::new(),
+            version: String::new(),
+            slots: 0,
+            state: State::Gone,
+            sequence: u64::MAX,
+            cold_ms: 0,
+        }
+    }
+
+    /// Takes what is newer of the same life.
+    pub fn update(&mut self, newer: Instance) {
+        if newer.service.is_empty() {
+            (self.state, self.sequence) = (newer.state, newer.sequence);
+        } else {
+            *self = newer;
+        }
+    }
+}
+
 /// What markers say to each other. Each goes out on a connection of its sender's.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Between {
--- a/crates/marker/src/registry.rs
+++ b/crates/marker/src/registry.rs
@@ -124,7 +124,7 @@
             (entry.at, entry.here) = (now, false);
             let changes =
                 entry.instance.state != instance.state || entry.instance.address != instance.address;
-            entry.instance = instance;
+            entry.instance.update(instance);
             return changes.then(|| entry.instance.clone()).into_iter().collect();
         }
         if self.entries.len() >= SERVERS_MAX {
@@ -153,7 +153,10 @@
 
     /// A server says that it ends.
     pub fn on_leave(&mut self, now: Millis, id: &str) -> Vec<Instance> {
-        let Some(entry) = self.entries.get_mut(id) else { return Vec::new() };
+        let Some(entry) = self.entries.get_mut(id) else {
+            // Others may know it: they have to hear of its end before that is acknowledged.
+            return self.take(now, Instance::ended(id));
+        };
         let before = (entry.instance.state, entry.instance.sequence);
         (entry.instance.state, entry.instance.sequence, entry.at) = (State::Gone, u64::MAX, now);
         let changes = before != (State::Gone, u64::MAX);
--- a/crates/proxy/src/servers.rs
+++ b/crates/proxy/src/servers.rs
@@ -109,7 +109,8 @@
             if silent && server.answered.is_some_and(|at| now < at + ANSWERED) {
                 continue;
             }
-            (server.told, server.gone) = (word, now);
+            server.told.update(word);
+            server.gone = now;
         }
         let gone = |s: &Server| s.told.state == State::Gone && s.under_way == 0 && now >= s.gone + REMEMBER;
         self.by_id.retain(|id, server| {
--- a/crates/proxy/tests/contact.rs
+++ b/crates/proxy/tests/contact.rs
@@ -770,3 +770,24 @@
         assert!(counts.iter().all(|n| *n as u64 > count), "{counts:?}");
     }
 }
+
+#[gtest]
+fn an_end_that_is_told_to_a_marker_that_does_not_know_the_server_reaches_those_that_do() {
+    let mut world = World::new(3, 3);
+    (0..6).for_each(|n| world.act(n, "up"));
+    world.run(1_000);
+    world.happen(&["put", "1"]);
+    world.run(2_000);
+    // What the second marker says does not reach the first, which stays in contact by the third.
+    world.cut(1, 0);
+    world.happen(&["beat", "s1", "m2"]);
+    world.run(2_100);
+    world.happen(&["lists", "m1", "0"]);
+    world.happen(&["lists", "m3", "1"]);
+    world.happen(&["leave", "s1", "m1"]);
+    world.run(2_900);
+    world.happen(&["answered", "s1"]);
+    for column in &world.columns {
+        expect_that!(column.gate.as_ref().unwrap().servers.ready("s"), eq(0));
+    }
+}
