Take a gatekeeper's part back at once when its process was killed

Ruled out: taking any broken connection for an end, as before the incident: a reset comes from the network as well, and a gatekeeper that hears nothing closes its session and lives on. Change: a gatekeeper whose home is silent says so to it before it counts alone, and makes it its home again when it is heard; so a session that its peer closes while this is still its home is that of a process that has ended. Totals count from a home only once it has told what was let in of late.

--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -229,7 +229,9 @@
     .await;
     if exchange.sessions.borrow_mut().remove(&id).is_some() {
         log::info!("session {id}: {ended}");
-        exchange.step(|marker, _, _| marker.on_closed(id));
+        // Its kernel closes the connections of a process that is killed; a reset may come from the network.
+        let ended = matches!(ended, line::Ended::Closed);
+        exchange.step(|marker, now, out| marker.on_closed(now, id, ended, out));
     }
 }
 
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -467,8 +467,13 @@
         }
     }
 
-    /// A session ends. That says nothing of its gatekeeper, which may have lost the connection only.
-    pub fn on_closed(&mut self, session: SessionId) {
+    /// A session ends; `closed` says that its peer closed it. A gatekeeper that goes on says first that this is not its home
+    /// any more: one that has not is no more. A broken or silent connection says nothing of its gatekeeper.
+    pub fn on_closed(&mut self, now: Millis, session: SessionId, closed: bool, out: &mut Vec<Output>) {
+        let is_home = self.sessions.life(session).is_some_and(|life| self.tally.lives().contains(&life));
+        if closed && is_home {
+            self.on_leaving(now, session, out);
+        }
         self.tally.close(session);
         self.sessions.close(session);
     }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -57,6 +57,10 @@
     /// Servers that are ready by what it says, kept aside likewise: as many as a marker knows at the most.
     ready: BTreeMap<String, Instance>,
     opened: Millis,
+    /// Whether it was told that it is not the home any more, as it was silent.
+    left: bool,
+    /// Whether it has told what was let in of late, since it is the home: totals of before are another home's.
+    began: bool,
     /// What the others had let in by the newest totals, once there were some.
     others: Option<BTreeMap<String, u64>>,
     heard: Millis,
@@ -170,7 +174,28 @@
     /// Time passes. Gives what to say of a home that is due now.
     pub fn look(&mut self, now: Millis) -> Vec<(Ipv4Addr, Up)> {
         self.pass(now);
-        self.find_home()
+        let mut say = self.leave_silent_home();
+        say.extend(self.find_home());
+        say
+    }
+
+    /// A home that is silent may still hear: it is told that what is let in from now on is not told to it.
+    fn leave_silent_home(&mut self) -> Vec<(Ipv4Addr, Up)> {
+        let now = self.now;
+        let home = self.home.and_then(|ip| Some((ip, self.sessions.get_mut(&ip)?)));
+        let silent = home.filter(|(_, s)| !s.left && s.others.is_some() && now >= s.heard + TOUCH);
+        let Some((ip, session)) = silent else { return Vec::new() };
+        (session.left, session.began, session.others) = (true, false, None);
+        vec![(ip, Up::Home(false))]
+    }
+
+    /// A home that was silent is heard again.
+    fn return_to_home(&mut self, ip: Ipv4Addr) -> Vec<(Ipv4Addr, Up)> {
+        let session = self.sessions.get_mut(&ip).filter(|_| self.home == Some(ip));
+        match session.map(|s| std::mem::take(&mut s.left)) {
+            Some(true) => vec![(ip, Up::Home(true))],
+            _ => Vec::new(),
+        }
     }
 
     fn pass(&mut self, now: Millis) {
@@ -226,7 +251,7 @@
         let mut say: Vec<(Ipv4Addr, Up)> = self.home.into_iter().map(|ip| (ip, Up::Home(false))).collect();
         self.home = best;
         if let Some(session) = best.and_then(|ip| self.sessions.get_mut(&ip)) {
-            session.others = None;
+            (session.others, session.left, session.began) = (None, false, false);
         }
         if let Some(ip) = best {
             say.push((ip, Up::Home(true)));
@@ -264,6 +289,13 @@
             (session.heard, session.heard_since) = (now, true);
         }
         self.pass(now);
+        let back = self.return_to_home(ip);
+        let (change, mut say) = self.take_word(now, ip, word);
+        say.extend(back);
+        (change, say)
+    }
+
+    fn take_word(&mut self, now: Millis, ip: Ipv4Addr, word: Down) -> (Option<Change>, Vec<(Ipv4Addr, Up)>) {
         match word {
             Down::Pong => (None, Vec::new()),
             Down::News(number, news) => {
@@ -330,14 +362,15 @@
             }
             Down::Recent(recent) => {
                 let is_home = self.home == Some(ip);
+                if let Some(session) = self.sessions.get_mut(&ip) {
+                    session.began = is_home && !session.left;
+                }
                 (is_home.then_some(Change::Recent(recent)), Vec::new())
             }
             Down::Totals(counted, totals) => {
-                if self.home != Some(ip) {
-                    return (None, Vec::new());
-                }
+                let home = self.sessions.get_mut(&ip).filter(|s| self.home == Some(ip) && s.began);
+                let Some(session) = home else { return (None, Vec::new()) };
                 self.uncounted.retain(|(number, _)| *number > counted);
-                let Some(session) = self.sessions.get_mut(&ip) else { return (None, Vec::new()) };
                 let first = session.others.is_none();
                 let known = session.others.get_or_insert_with(BTreeMap::new);
                 let mut news = Vec::new();
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -364,7 +364,7 @@
                 for (ip, (id, _)) in std::mem::take(&mut self.columns[g].sessions) {
                     let m = self.board(ip).unwrap();
                     if what == "kill" && !self.is_cut(n, m) {
-                        self.closed(m, id);
+                        self.closed(m, id, true);
                     }
                 }
             }
@@ -388,9 +388,9 @@
     }
 
     /// A session ends on the marker's side.
-    fn closed(&mut self, m: usize, id: u64) {
+    fn closed(&mut self, m: usize, id: u64, closed: bool) {
         if self.boards[m].sessions.remove(&id).is_some() {
-            self.step(m, |marker, _, _| marker.on_closed(id));
+            self.step(m, |marker, now, out| marker.on_closed(now, id, closed, out));
         }
     }
 
@@ -401,7 +401,7 @@
         self.columns[g].told.remove(&ip);
         let say = self.columns[g].gate.as_mut().map(|gate| gate.control.close(ip));
         if !self.is_cut(self.gate(g), m) {
-            self.closed(m, id);
+            self.closed(m, id, true);
         }
         self.say(g, say.into_iter().flatten().collect());
     }
@@ -622,7 +622,7 @@
             let silent = self.boards[m].sessions.iter().filter(|(_, (_, heard))| self.now > heard + BREAKS);
             let silent: Vec<(u64, usize)> = silent.map(|(id, (g, _))| (*id, *g)).collect();
             for (id, g) in silent {
-                self.closed(m, id);
+                self.closed(m, id, false);
                 let ip = self.boards[m].ip;
                 let same = self.columns[g].sessions.get(&ip).is_some_and(|s| s.0 == id);
                 if same && !self.is_cut(m, self.gate(g)) {
