Begin from what a store would have left, and hold a lower limit against the window after a window

Cause: who begins took what the window leaves, also where a store would have been empty since (a tenant that rested and then asked too much); and a limit that was lowered was held against what the former one had allowed, which refuses more than the quota asks. Change: the window's slots are replayed through the store; a lower limit binds the window once one has passed; 0.3 of a burst beyond the window for those that count already.

--- a/crates/common/src/recent_use.rs
+++ b/crates/common/src/recent_use.rs
@@ -143,6 +143,19 @@
         })
     }
 
+    /// What is left of a tenant's store after the window, if it began with `begin`, held `most` at the most, and gained `rate`
+    /// a millisecond of the whole quota that was granted.
+    pub fn left(&self, now: u64, tenant: &str, begin: f64, most: f64, rate: f64) -> f64 {
+        let slot = now / self.slot;
+        let (mut granted, mut used) = (self.granted, self.table.get(tenant).copied().unwrap_or_default());
+        granted.advance(slot);
+        used.advance(slot);
+        let slots = granted.oldest_first().into_iter().zip(used.oldest_first());
+        slots.fold(begin, |left, (granted, used)| {
+            (left + f64::from(granted) / 1e3 * rate).min(most) - f64::from(used)
+        })
+    }
+
     /// What is known of the window, for another to begin from; `part` of each quota is granted since
     /// [`RecentUse::grant`] was last called.
     pub fn known(&mut self, now: u64, part: f64) -> Known {
@@ -193,6 +206,19 @@
         expect_true!(recent.known(60_000, 1.0).used.is_empty());
     }
 
+    #[gtest]
+    fn a_store_that_was_full_is_not_fuller_for_having_rested() {
+        let mut recent = RecentUse::new(5_000, 0);
+        recent.grant(10_000, 1.0);
+        expect_that!(recent.left(10_000, "t", 15.0, 60.0, 0.1), eq(60.0));
+        recent.add(10_000, "t", 100);
+        expect_that!(recent.left(10_000, "t", 15.0, 60.0, 0.1), eq(-40.0));
+        recent.grant(10_200, 0.5);
+        expect_that!(recent.left(10_200, "t", 15.0, 60.0, 0.1), eq(-40.0));
+        recent.grant(10_500, 1.0);
+        expect_that!(recent.left(10_500, "t", 15.0, 60.0, 0.1), near(-15.0, 0.1));
+    }
+
     #[gtest]
     fn what_another_knows_is_taken_over_and_ages_out_as_it_does_there() {
         let mut there = RecentUse::new(5_000, 8_000);
--- a/crates/lab/src/hollow/gatekeepers.rs
+++ b/crates/lab/src/hollow/gatekeepers.rs
@@ -219,7 +219,7 @@
                 self.whole.set(true);
                 return Vec::new();
             }
-            Change::Gatekeepers(..) | Change::Others(_) => return Vec::new(),
+            Change::Gatekeepers(..) | Change::Recent(_) | Change::Others(_) => return Vec::new(),
         };
         if let Some(has) = self.revision().filter(|has| has.version >= told.version) {
             return vec![(ip, Up::Has(has))];
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -29,7 +29,7 @@
 /// count may let in beyond what the window leaves.
 const FRESH: f64 = 0.15;
 /// The same for one that counts already: what the rule leaves beyond it is for what is let in unseen.
-const WINDOW_SPARE: f64 = 0.4;
+const WINDOW_SPARE: f64 = 0.3;
 /// How long those that are now missed let in requests without being heard, before they were missed, seconds.
 const UNHEARD: f64 = 1.0;
 /// Least burst, in seconds of the rate, and in requests.
@@ -44,6 +44,8 @@
 struct Entry {
     customer: Customer,
     plan: Plan,
+    /// The plan before, and until when what was let in by it counts in the window.
+    former: Option<(Plan, Millis)>,
     seen: Millis,
     /// What may be let in here until the others are heard of again, of what is left for all; and since when.
     room: f64,
@@ -66,6 +68,7 @@
         let mut entry = Entry {
             customer: Customer::default(),
             plan: whole,
+            former: None,
             seen: now,
             room: 0.0,
             room_at: now,
@@ -90,6 +93,25 @@
         self.room = level.max(0.0) * self.share(gatekeepers);
     }
 
+    /// Another configuration is in force.
+    fn change_plan(&mut self, now: Millis, window: Millis, plan: Plan) {
+        if (plan.rate, plan.burst) != (self.plan.rate, self.plan.burst) {
+            self.former = Some((std::mem::replace(&mut self.plan, plan), now + window));
+        }
+    }
+
+    /// The plan by which the last window is judged: a lower limit holds once a window has passed.
+    fn window_plan(&self, now: Millis) -> Plan {
+        match &self.former {
+            Some((former, until)) if now < *until => Plan {
+                rate: former.rate.max(self.plan.rate),
+                burst: former.burst.max(self.plan.burst),
+                ..self.plan.clone()
+            },
+            _ => self.plan.clone(),
+        }
+    }
+
     /// Takes units as used that nobody has counted here.
     fn spend(&mut self, units: f64) {
         let left = self.customer.left();
@@ -235,7 +257,17 @@
     /// in the last window: whoever refuses from then on keeps to the quota in each window.
     fn beginning(&self, now: Millis, tenant: &str) -> f64 {
         let Some(entry) = self.table.get(tenant) else { return 0.0 };
-        self.level_of(now, tenant, &scaled(&entry.plan, self.part()), FRESH)
+        self.level_at_begin(now, tenant, &scaled(&entry.window_plan(now), self.part()))
+    }
+
+    /// The same, and no more than a store of such a plan would have left after the window.
+    fn level_at_begin(&self, now: Millis, tenant: &str, plan: &Plan) -> f64 {
+        let level = self.level_of(now, tenant, plan, FRESH);
+        if !self.in_touch {
+            return level;
+        }
+        let rate = plan.rate / self.part() / 1e3;
+        level.min(self.recent.left(now, tenant, FRESH * plan.burst, STORE * plan.burst, rate))
     }
 
     fn level_of(&self, now: Millis, tenant: &str, plan: &Plan, spare: f64) -> f64 {
@@ -282,15 +314,18 @@
             if self.table.len() >= TABLE_MAX {
                 return Some(ADVICE);
             }
-            let level = self.level_of(now, &tenant.name, &plan, FRESH);
+            let level = self.level_at_begin(now, &tenant.name, &plan);
             let entry = Entry::new(&tenant.name, whole.clone(), part, n, level, now);
             self.table.insert(tenant.name.clone(), entry);
         }
-        let most = self.level_of(now, &tenant.name, &plan, WINDOW_SPARE);
         let entry = self.table.get_mut(&tenant.name)?;
-        (entry.plan, entry.seen) = (whole, now);
+        entry.change_plan(now, self.window, whole);
+        entry.seen = now;
+        let judged = scaled(&entry.window_plan(now), part);
+        let most = self.level_of(now, &tenant.name, &judged, WINDOW_SPARE);
+        let entry = self.table.get_mut(&tenant.name)?;
         entry.customer.advance(&plan, at, false);
-        entry.customer.drain_to(most);
+        entry.customer.drain_to(most.min(STORE * plan.burst));
         let mut wait = entry.customer.beyond(&plan, 1.0, 0.0, at, self.rng.f64());
         if wait.is_none() && !entry.has_room(now, &plan, n) {
             wait = Some(ROOM * 1_000);
--- a/crates/proxy/tests/quota.rs
+++ b/crates/proxy/tests/quota.rs
@@ -4,6 +4,10 @@
 mod common;
 
 use common::{World, RATE};
+use granitelead_common::configuration::Tenant;
+use granitelead_common::recent_use::Known;
+use granitelead_proxy::tenants::Tenants;
+use std::net::Ipv4Addr;
 
 /// Requests that the rule allows in the window of five seconds.
 const ALLOWED: usize = ((RATE * 5.0 + RATE) * 1.1 + 20.0) as usize;
@@ -237,3 +241,82 @@
     }
     assert!(broken.is_empty(), "{} of {seeds:?} over {ALLOWED}: {broken:?}", broken.len());
 }
+
+/// All gatekeepers are killed 0.6 s after the tenant has begun to ask more, and begin together.
+#[test]
+fn a_quota_holds_where_all_gatekeepers_start_again_beside_a_hot_start() {
+    let most = played(662, &Schedule::drawn(662)).most();
+    assert!(most <= ALLOWED, "{most} are let in, {ALLOWED} are allowed");
+}
+
+/// One gatekeeper that counts together with nobody else.
+fn alone() -> Tenants {
+    let mut tenants = Tenants::new(5, 5_000);
+    tenants.share(0, 1, 0);
+    tenants.begin_from(0, &Known { span: 5_000, granted: vec![250_000; 20], used: Vec::new() });
+    tenants.touch(0, true);
+    tenants
+}
+
+/// Asks evenly so many times a second; gives how many were refused.
+fn ask(tenants: &mut Tenants, from: u64, until: u64, rate: f64, a_second: u64) -> usize {
+    let tenant = Tenant { name: "t".into(), priority: None, rate, burst: rate };
+    let mut refused = 0;
+    for now in from..until {
+        if now % 50 == 0 {
+            tenants.hear(now, &[]);
+        }
+        if now % (1_000 / a_second) == 0 {
+            refused += usize::from(tenants.beyond(now, &tenant).is_some());
+        }
+    }
+    refused
+}
+
+#[test]
+fn what_a_former_limit_allowed_is_not_held_against_a_lower_one() {
+    let mut tenants = alone();
+    assert_eq!(ask(&mut tenants, 0, 8_000, 200.0, 125), 0);
+    let refused = ask(&mut tenants, 8_000, 12_000, 100.0, 50);
+    assert!(refused <= 2, "{refused} of 200 are refused at half of the new limit");
+    let refused = ask(&mut tenants, 18_000, 28_000, 100.0, 200);
+    assert!((900..1_100).contains(&refused), "{refused} of 2,000 at twice the limit");
+}
+
+#[test]
+fn a_process_that_starts_again_begins_from_what_was_used_of_late() {
+    let known = |used: u32| Known {
+        span: 5_000,
+        granted: vec![250_000; 20],
+        used: vec![("t".into(), vec![used; 20])],
+    };
+    for (used, least, most) in [(25, 0, 20), (10, 45, 60)] {
+        let mut tenants = alone();
+        tenants.begin_from(100, &known(used));
+        let tenant = Tenant { name: "t".into(), priority: None, rate: RATE, burst: RATE };
+        let let_in = (0..500).filter(|_| tenants.beyond(100, &tenant).is_none()).count();
+        assert!((least..=most).contains(&let_in), "{let_in} let in after {} in the window", used * 20);
+    }
+}
+
+#[test]
+fn the_figures_tell_what_decides_on_the_next_request() {
+    let mut world = World::drawn(1, 2, 3);
+    (0..3).for_each(|n| world.act(n, "up"));
+    world.run(1_000);
+    world.happen(&["put", "1"]);
+    world.load = 10.0;
+    world.run(6_000);
+    let gate = world.columns[0].gate.as_ref().unwrap();
+    let text = granitelead_proxy::metrics::text(gate);
+    let home = Ipv4Addr::new(10, 0, 0, 1);
+    for line in [
+        "quota_gatekeepers 2".to_owned(),
+        "quota_gatekeepers_missed 0".to_owned(),
+        format!("quota_in_touch{{home=\"{home}\"}} 1"),
+        "ready 1".to_owned(),
+        "quota_refused{tenant=\"t\"} 0".to_owned(),
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line} in {text}");
+    }
+}
