Begin with more where nothing is known of the last window

Ruled out: the parts (markers know from their disks how many there are). Change: 0.4 of a burst where nothing is known of the window, 0.15 where all of it is, in between by its part.

--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -28,6 +28,8 @@
 /// Part of a burst that is taken to be left at the begin of what is known of a tenant's use, and of what one that begins to
 /// count may let in beyond what the window leaves.
 const FRESH: f64 = 0.15;
+/// The same where nothing is known of the last window: all have started again, and let in nothing meanwhile.
+const FRESH_UNKNOWN: f64 = 0.4;
 /// The same for one that counts already: what the rule leaves beyond it is for what is let in unseen.
 const WINDOW_SPARE: f64 = 0.3;
 /// How long those that are now missed let in requests without being heard, before they were missed, seconds.
@@ -262,12 +264,15 @@
 
     /// The same, and no more than a store of such a plan would have left after the window.
     fn level_at_begin(&self, now: Millis, tenant: &str, plan: &Plan) -> f64 {
-        let level = self.level_of(now, tenant, plan, FRESH);
+        let span = if self.in_touch { self.recent.span(now) } else { now.saturating_sub(self.alone_since) };
+        let known = (span as f64 / self.window as f64).min(1.0);
+        let spare = FRESH * known + FRESH_UNKNOWN * (1.0 - known);
+        let level = self.level_of(now, tenant, plan, spare);
         if !self.in_touch {
             return level;
         }
         let rate = plan.rate / self.part() / 1e3;
-        level.min(self.recent.left(now, tenant, FRESH * plan.burst, STORE * plan.burst, rate))
+        level.min(self.recent.left(now, tenant, spare * plan.burst, STORE * plan.burst, rate))
     }
 
     fn level_of(&self, now: Millis, tenant: &str, plan: &Plan, spare: f64) -> f64 {
