Know the window also in a process whose clock began after it

Cause: a process's clock begins at 0, so that a window of five seconds that it is told in its first second seemed unknown to it: it began with 0.4 of a burst in place of 0.15. Ruled out: the test's expectation (500 of 500 used leaves at most 20). Change: the known span is kept beside the moment at which it was told, not as a beginning on the clock.

--- a/crates/common/src/recent_use.rs
+++ b/crates/common/src/recent_use.rs
@@ -69,7 +69,9 @@
 /// What each tenant used in the last window, as far as it is known.
 pub struct RecentUse {
     slot: u64,
-    since: u64,
+    /// For how long the window was known, and when: a process's clock may have begun after that.
+    span: u64,
+    span_at: u64,
     /// Microseconds of the whole quota that were granted, and until when they are added up.
     granted: Counts,
     granted_at: u64,
@@ -81,7 +83,7 @@
     pub fn new(window: u64, now: u64) -> RecentUse {
         let slot = (window / SLOTS as u64).max(1);
         let granted = Counts { newest: now / slot, ..Counts::default() };
-        RecentUse { slot, since: now, granted, granted_at: now, table: HashMap::new() }
+        RecentUse { slot, span: 0, span_at: now, granted, granted_at: now, table: HashMap::new() }
     }
 
     fn window(&self) -> u64 {
@@ -90,7 +92,7 @@
 
     /// For how much of the last window it is known what was used, milliseconds.
     pub fn span(&self, now: u64) -> u64 {
-        now.saturating_sub(self.since).min(self.window())
+        (self.span + now.saturating_sub(self.span_at)).min(self.window())
     }
 
     /// This part of each quota was granted to those who count together since this was last called.
@@ -115,7 +117,7 @@
 
     /// Whether it is known what was used in all of the slots.
     pub fn is_whole(&self, now: u64) -> bool {
-        now.saturating_sub(self.since) + self.slot >= self.window()
+        self.span(now) + self.slot >= self.window()
     }
 
     /// A tenant used so many.
@@ -170,7 +172,7 @@
     /// Takes over what another knows. Its slots begin at other moments: they are off by one slot at the most.
     pub fn replace(&mut self, now: u64, known: &Known) {
         let slot = now / self.slot;
-        self.since = now.saturating_sub(known.span.min(self.window()));
+        (self.span, self.span_at) = (known.span.min(self.window()), now);
         (self.granted, self.granted_at) = (Counts::of(slot, &known.granted), now);
         let used = known.used.iter().take(TENANTS_MAX);
         self.table = used.map(|(tenant, slots)| (tenant.clone(), Counts::of(slot, slots))).collect();
@@ -206,6 +208,15 @@
         expect_true!(recent.known(60_000, 1.0).used.is_empty());
     }
 
+    #[gtest]
+    fn a_window_is_known_to_a_process_that_has_just_begun() {
+        let mut recent = RecentUse::new(5_000, 0);
+        recent.replace(100, &Known { span: 5_000, granted: vec![250_000; 20], used: Vec::new() });
+        expect_that!(recent.span(100), eq(5_000));
+        expect_true!(recent.is_whole(100));
+        expect_that!(recent.granted(100, 1.0), near(5_000.0, 1.0));
+    }
+
     #[gtest]
     fn a_store_that_was_full_is_not_fuller_for_having_rested() {
         let mut recent = RecentUse::new(5_000, 0);
