Acknowledge the leaving of a server only when most of the core has it on disk

Cause: a drain or deregistration was acknowledged once gatekeepers and markers had it in memory. The list of servers went to disk at most every 400 ms, whole, and without those that had ended, so that a restart of all began with a list in which the server was ready, and no heartbeat came that would correct it.

Change: each server has a record of its own on disk, also while it is remembered as ended. A marker confirms a change to another only when its record is synced, and a call is acknowledged when a majority of the core (of the earlier core too, while it changes) has confirmed or stored it: a quorum after a restart contains one of these, and catches up from it before it serves. A server that has deregistered is remembered for ten minutes in place of half a minute, so that a marker that was down does not bring it back; where the registry is full, the longest ended make room. Failed writes of servers are retried like those of the state. The format stays 2: a program before this one ignores the records, and its list, if found, replaces the live ones.

The drawn schedules of contact.rs have restarts of all processes, servers that deregister without draining, and lose the exemption for servers that have deregistered.

--- a/crates/marker/src/core/heartbeats.rs
+++ b/crates/marker/src/core/heartbeats.rs
@@ -91,6 +91,18 @@
         self.agreement.epoch().is_some_and(|e| is_majority(&e.core, counts))
     }
 
+    /// Whether a majority of the core stores something: this marker if `stored_here`, and the live markers
+    /// that satisfy `has`. While the core changes, a majority of the earlier core is needed too, because a
+    /// restart may begin with either.
+    pub fn is_stored_by_majority(&self, stored_here: bool, has: impl Fn(Ipv4Addr) -> bool) -> bool {
+        let stores = |node: &Node| match *node == self.me() {
+            true => stored_here,
+            false => self.is_alive(*node) && has(node.ip),
+        };
+        let epoch = self.agreement.epoch();
+        epoch.is_some_and(|e| is_majority(&e.core, stores) && is_majority(&e.previous_core, stores))
+    }
+
     /// A random number that differs from those of earlier processes with high probability.
     pub fn draw_nonce(&mut self) -> u64 {
         self.rng.u64(1 << 32..1 << 48)
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod registry;
 pub mod repair;
 pub mod run;
+pub mod server_log;
 pub mod sessions;
 pub mod state;
 pub mod store;
--- a/crates/marker/src/registry.rs
+++ b/crates/marker/src/registry.rs
@@ -14,8 +14,9 @@
 
 /// Heartbeats that a server may miss before it counts as gone, and the extra time on top, ms.
 const MISSED_HEARTBEATS: (u64, Millis) = (4, 2_000);
-/// How long instances that are gone are remembered, ms, so that late reports about them change nothing.
-const REMEMBER_GONE: Millis = 30_000;
+/// How long instances are remembered that are gone, ms, so that late reports about them change nothing; the
+/// second for those that have deregistered, which a marker that was down may still list when it returns.
+const REMEMBER_GONE: (Millis, Millis) = (30_000, 600_000);
 /// A server counts as recently heard for one heartbeat interval plus this time, ms: heartbeats that other
 /// markers received are reported a little later.
 const REPORT_DELAY: Millis = 1_000;
@@ -29,6 +30,19 @@
     last_heard: Millis,
     /// Whether its last heartbeat came to this marker.
     is_local: bool,
+    /// Whether it is known only from the disk, from before this start.
+    is_restored: bool,
+}
+
+impl Entry {
+    /// Whether it has been gone for so long that it can be forgotten.
+    fn is_expired(&self, now: Millis) -> bool {
+        let remember = match self.instance.sequence {
+            u64::MAX => REMEMBER_GONE.1,
+            _ => REMEMBER_GONE.0,
+        };
+        self.instance.state == InstanceState::Gone && now >= self.last_heard + remember
+    }
 }
 
 /// The result of merging a report that another marker passed on.
@@ -46,6 +60,8 @@
     heartbeat_interval: Millis,
     /// Instances whose heartbeats came here since the other markers were last notified.
     heard_here: BTreeSet<String>,
+    /// Ended instances that were forgotten before their time, to make room.
+    evicted: Vec<String>,
 }
 
 /// Parses the body of a heartbeat.
@@ -102,6 +118,18 @@
             entries: BTreeMap::new(),
             heartbeat_interval: heartbeat_interval.max(1),
             heard_here: BTreeSet::new(),
+            evicted: Vec::new(),
+        }
+    }
+
+    /// Takes in the instances that were on disk when the marker started.
+    pub fn restore(&mut self, now: Millis, instances: Vec<Instance>) {
+        for instance in instances {
+            let id = instance.id.clone();
+            self.apply(now, instance);
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.is_restored = true;
+            }
         }
     }
 
@@ -129,13 +157,13 @@
             if !is_newer(&instance, &entry.instance) {
                 return Vec::new();
             }
-            (entry.last_heard, entry.is_local) = (now, false);
+            (entry.last_heard, entry.is_local, entry.is_restored) = (now, false, false);
             let is_changed =
                 entry.instance.state != instance.state || entry.instance.address != instance.address;
             entry.instance.update(instance);
             return is_changed.then(|| entry.instance.clone()).into_iter().collect();
         }
-        if self.entries.len() >= SERVERS_MAX {
+        if self.entries.len() >= SERVERS_MAX && !self.evict_ended() {
             log::error!("server limit of {SERVERS_MAX} reached: instance {} is ignored", instance.id);
             return Vec::new();
         }
@@ -151,10 +179,22 @@
             }
         }
         changed.push(instance.clone());
-        self.entries.insert(instance.id.clone(), Entry { instance, last_heard: now, is_local: false });
+        let entry = Entry { instance, last_heard: now, is_local: false, is_restored: false };
+        self.entries.insert(entry.instance.id.clone(), entry);
         changed
     }
 
+    /// Forgets the instance that has been gone for the longest time, if any is gone.
+    fn evict_ended(&mut self) -> bool {
+        let ended = self.entries.iter().filter(|(_, e)| e.instance.state == InstanceState::Gone);
+        let Some(oldest) = ended.min_by_key(|(_, e)| e.last_heard).map(|(id, _)| id.clone()) else {
+            return false;
+        };
+        self.entries.remove(&oldest);
+        self.evicted.push(oldest);
+        true
+    }
+
     /// The latest known state of an instance.
     pub fn get(&self, id: &str) -> Option<&Instance> {
         self.entries.get(id).map(|e| &e.instance)
@@ -180,7 +220,8 @@
         for (id, sequence) in instances {
             let Some(entry) = self.entries.get_mut(id) else { continue };
             if entry.instance.sequence < *sequence && entry.instance.state != InstanceState::Draining {
-                (entry.instance.sequence, entry.last_heard, entry.is_local) = (*sequence, now, false);
+                (entry.instance.sequence, entry.last_heard) = (*sequence, now);
+                (entry.is_local, entry.is_restored) = (false, false);
                 if entry.instance.state == InstanceState::Gone {
                     entry.instance.state = InstanceState::Ready;
                     changed.push(entry.instance.clone());
@@ -217,10 +258,7 @@
         let recent = self.heartbeat_interval + REPORT_DELAY;
         let has_address = |e: &Entry| {
             let is_other = e.instance.id != report.id && e.instance.state != InstanceState::Gone;
-            is_other
-                && e.instance.address == report.address
-                && e.last_heard > 0
-                && now < e.last_heard + recent
+            is_other && e.instance.address == report.address && !e.is_restored && now < e.last_heard + recent
         };
         if report.state != InstanceState::Gone
             && (ended || known.is_none() && self.entries.values().any(has_address))
@@ -231,17 +269,20 @@
         Merged::Changed(self.apply(now, report))
     }
 
-    /// Advances to `now` and drops instances that have been gone for long. `may_miss_reports` says that
-    /// heartbeats may reach other markers without being reported here: no timeout can then pass its half.
-    pub fn on_tick(&mut self, now: Millis, may_miss_reports: bool) {
+    /// Advances to `now` and forgets instances that have been gone for long; returns their ids.
+    /// `may_miss_reports` says that heartbeats may reach other markers without being reported here: no timeout
+    /// can then pass its half.
+    pub fn on_tick(&mut self, now: Millis, may_miss_reports: bool) -> Vec<String> {
         let half = self.timeout() / 2;
         for entry in
             self.entries.values_mut().filter(|e| may_miss_reports && e.instance.state != InstanceState::Gone)
         {
             entry.last_heard = entry.last_heard.max(now.saturating_sub(half));
         }
-        self.entries
-            .retain(|_, e| e.instance.state != InstanceState::Gone || now < e.last_heard + REMEMBER_GONE);
+        let expired = self.entries.iter().filter(|(_, entry)| entry.is_expired(now));
+        let expired: Vec<String> = expired.map(|(id, _)| id.clone()).collect();
+        expired.iter().for_each(|id| drop(self.entries.remove(id)));
+        expired.into_iter().chain(std::mem::take(&mut self.evicted)).collect()
     }
 
     fn timeout(&self) -> Millis {
--- a/crates/marker/src/run.rs
+++ b/crates/marker/src/run.rs
@@ -168,11 +168,11 @@
                         session.close();
                     }
                 }
-                Output::StoreServers(servers) => {
-                    let _ = self.writes.send(Job::Servers(servers));
+                Output::StoreServers(write) => {
+                    let _ = self.writes.send(Job::Servers(write));
                 }
-                Output::StoreGatekeepers(names) => {
-                    let _ = self.writes.send(Job::Gatekeepers(names));
+                Output::StoreGatekeepers(ticket, names) => {
+                    let _ = self.writes.send(Job::Gatekeepers(ticket, names));
                 }
                 Output::Answer(id, reply) => {
                     if let Some(call) = self.calls.borrow_mut().remove(&id) {
@@ -357,9 +357,9 @@
     let (writes, jobs) = mpsc::channel();
     let (written, mut is_written) = tokio::sync::mpsc::unbounded_channel();
     std::thread::spawn(move || {
-        store::run(store, &jobs, |ticket| {
+        store::run(store, &jobs, |write| {
             // The receiver is gone when the process is exiting.
-            let _ = written.send(ticket);
+            let _ = written.send(write);
         })
     });
 
@@ -396,8 +396,8 @@
     spawn_local(serve_control(runtime.clone(), control_listener));
     let shared = runtime.clone();
     spawn_local(async move {
-        while let Some(ticket) = is_written.recv().await {
-            shared.step(|marker, now, out| marker.on_written(now, ticket, out));
+        while let Some(written) = is_written.recv().await {
+            shared.step(|marker, now, out| marker.on_written(now, written, out));
         }
     });
     let shared = runtime.clone();
--- a/crates/marker/src/sessions.rs
+++ b/crates/marker/src/sessions.rs
@@ -21,6 +21,8 @@
 /// the gatekeeper has it by then. If the attached marker is cut off or frozen, this and one tick are lost of
 /// the 2,000 ms that a change may take.
 const ATTACHED_HEAD_START: Millis = 200;
+/// Maximum number of concurrent waits. Beyond it the changes of other markers are not confirmed to them.
+const WAITS_MAX: usize = 4_096;
 /// Maximum number of concurrent sessions.
 pub const SESSIONS_MAX: usize = 2_000;
 
@@ -65,12 +67,41 @@
     waiter: Waiter,
     sessions: BTreeMap<SessionId, u64>,
     markers: BTreeSet<Ipv4Addr>,
-    /// Markers that have confirmed that all their gatekeepers know.
+    /// Markers that have confirmed that all their gatekeepers know and that the change is on their disk.
     confirmed: BTreeSet<Ipv4Addr>,
     ticket: u64,
+    /// The ticket of the write after which the change is on the disk of this marker.
+    write: u64,
     deadline: Millis,
 }
 
+impl Wait {
+    fn is_delivered(&self, now: Millis) -> bool {
+        (self.sessions.is_empty() && self.markers.is_empty()) || now >= self.deadline
+    }
+
+    /// Whether it can be answered. A confirmation to another marker states that the change is on disk here,
+    /// so it is not given before; the call of a server is answered at its deadline in any case.
+    fn is_over(&self, now: Millis, is_durable: bool) -> bool {
+        let needs_write = match self.waiter {
+            Waiter::Call(_) => now < self.deadline,
+            Waiter::Marker(..) => true,
+        };
+        self.is_delivered(now) && (is_durable || !needs_write)
+    }
+}
+
+/// A wait that is over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FinishedWait {
+    /// The party to answer.
+    pub waiter: Waiter,
+    /// The markers that have confirmed the change.
+    pub confirmed_by: BTreeSet<Ipv4Addr>,
+    /// Whether the change is on the disk of this marker.
+    pub is_durable: bool,
+}
+
 /// All sessions of a marker, and the calls that wait for acknowledgements.
 #[derive(Default)]
 pub struct Sessions {
@@ -286,10 +317,13 @@
     }
 
     /// Starts a wait until all gatekeepers with sessions here have acknowledged what was sent to them so
-    /// far, and these markers have confirmed the same for theirs. Returns the ticket for those
-    /// confirmations.
-    pub fn start_wait(&mut self, now: Millis, waiter: Waiter, markers: &[Ipv4Addr]) -> u64 {
+    /// far, these markers have confirmed the same for theirs, and the write with the ticket `write` is on
+    /// disk. Returns the ticket for those confirmations.
+    pub fn start_wait(&mut self, now: Millis, waiter: Waiter, markers: &[Ipv4Addr], write: u64) -> u64 {
         let ticket = self.next_ticket();
+        if matches!(waiter, Waiter::Marker(..)) && self.waits.len() >= WAITS_MAX {
+            return ticket;
+        }
         let behind = self.sessions.iter().filter(|(_, s)| s.last_acknowledged < s.last_sent);
         let sessions = behind.map(|(id, s)| (*id, s.last_sent)).collect();
         let markers = markers.iter().copied().collect();
@@ -297,7 +331,15 @@
             Waiter::Call(_) => now + CALL_WAIT,
             Waiter::Marker(..) => now + FORWARDED_WAIT,
         };
-        self.waits.push(Wait { waiter, sessions, markers, confirmed: BTreeSet::new(), ticket, deadline });
+        self.waits.push(Wait {
+            waiter,
+            sessions,
+            markers,
+            confirmed: BTreeSet::new(),
+            ticket,
+            write,
+            deadline,
+        });
         ticket
     }
 
@@ -315,14 +357,15 @@
         }
     }
 
-    /// Removes the waits that are over, because all have confirmed or because the time is up. Returns each
-    /// waiter with the markers that have confirmed.
-    pub fn finished_waits(&mut self, now: Millis) -> Vec<(Waiter, BTreeSet<Ipv4Addr>)> {
+    /// Removes the waits that are over and returns them. All writes up to `durable_ticket` are on disk.
+    pub fn finished_waits(&mut self, now: Millis, durable_ticket: u64) -> Vec<FinishedWait> {
         let mut finished = Vec::new();
         self.waits.retain_mut(|wait| {
-            let is_over = (wait.sessions.is_empty() && wait.markers.is_empty()) || now >= wait.deadline;
+            let is_durable = wait.write <= durable_ticket;
+            let is_over = wait.is_over(now, is_durable);
             if is_over {
-                finished.push((wait.waiter, std::mem::take(&mut wait.confirmed)));
+                let confirmed_by = std::mem::take(&mut wait.confirmed);
+                finished.push(FinishedWait { waiter: wait.waiter, confirmed_by, is_durable });
             }
             !is_over
         });
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -5,9 +5,10 @@
 use crate::members::Members;
 use crate::registry::{self, Merged, Registry};
 use crate::repair::Repair;
-use crate::sessions::{Sessions, Waiter};
+use crate::server_log::ServerLog;
+use crate::sessions::{FinishedWait, Sessions, Waiter};
 use crate::tally::Tally;
-use crate::types::{Millis, Output, Reply, SessionId};
+use crate::types::{Millis, Output, Reply, SessionId, Written};
 use granitelead_common::configuration;
 use granitelead_common::error_kinds::ErrorKind;
 use granitelead_control_protocol::messages::{
@@ -30,8 +31,6 @@
 /// This long after its start a marker has received the sessions of all others. Only then, or if it has read
 /// the gatekeepers from its disk, does it send how many there are.
 const MEMBERS_KNOWN_AFTER: Millis = 1_200;
-/// How often the servers are written to disk, where they have changed.
-const STORE_SERVERS_INTERVAL: Millis = 400;
 /// How often markers that have not answered a catch-up request are sent it again.
 const CATCH_UP_RETRY_INTERVAL: Millis = 300;
 /// How often the reaper asks again for confirmation that servers have timed out.
@@ -68,6 +67,7 @@
     core: Core,
     zone: String,
     registry: Registry,
+    server_log: ServerLog,
     sessions: Sessions,
     repair: Repair,
     tally: Tally,
@@ -89,8 +89,6 @@
     totals_at: Millis,
     alive_at: Millis,
     sessions_at: Millis,
-    servers_at: Millis,
-    servers_changed: bool,
     /// Whether this marker has a quorum of the core and has caught up with it, and when that last changed.
     in_quorum: bool,
     quorum_changed_at: Millis,
@@ -126,18 +124,17 @@
 }
 
 impl Marker {
-    /// Creates a marker with a restored core, the heartbeat interval of servers in ms, and the servers that
-    /// were stored last.
+    /// Creates a marker with a restored core, the heartbeat interval of servers in ms, and the stored records
+    /// of servers.
     pub fn new(mut core: Core, zone: String, heartbeat_interval: Millis, servers: Vec<Instance>) -> Marker {
         let mut registry = Registry::new(heartbeat_interval);
-        for server in servers {
-            registry.apply(0, server);
-        }
+        registry.restore(core.now(), servers);
         let (ticket, last_catch_up_number, started_at) = (core.draw_nonce(), core.draw_nonce(), core.now());
         Marker {
             core,
             zone,
             registry,
+            server_log: ServerLog::default(),
             sessions: Sessions::new(ticket),
             repair: Repair::default(),
             tally: Tally::default(),
@@ -155,8 +152,6 @@
             totals_at: 0,
             alive_at: 0,
             sessions_at: 0,
-            servers_at: 0,
-            servers_changed: false,
             in_quorum: false,
             quorum_changed_at: 0,
             catch_up: None,
@@ -235,8 +230,8 @@
     }
 
     /// Sends changes of servers to all gatekeepers and markers. A server that leaves is answered once all
-    /// have acknowledged it. Its leaving is forwarded again with each of its calls, as earlier
-    /// acknowledgements are not stored. Without a quorum the change is applied and forwarded but not
+    /// have acknowledged it and a majority of the core has it on disk, so that no restart forgets it. Its
+    /// leaving is forwarded again with each of its calls, as earlier acknowledgements are not stored. Without a quorum the change is applied and forwarded but not
     /// acknowledged: the server then calls another marker, which may reach the others.
     fn broadcast_change(
         &mut self,
@@ -254,8 +249,8 @@
             out.push(Output::Answer(id, Reply::failure(ErrorKind::Uncertain, "this marker has no quorum")));
             0
         } else if leaves.is_some() {
-            let live = self.core.live_markers();
-            self.sessions.start_wait(now, Waiter::Call(id), &live)
+            let (live, write) = (self.core.live_markers(), self.server_log.write(now, out));
+            self.sessions.start_wait(now, Waiter::Call(id), &live, write)
         } else {
             out.push(Output::Answer(id, reply));
             0
@@ -320,7 +315,7 @@
     }
 
     /// Merges servers sent by another marker, and acknowledges once all gatekeepers with a session here have
-    /// confirmed.
+    /// confirmed and the changes are on disk.
     fn on_peer_servers(
         &mut self,
         now: Millis,
@@ -340,12 +335,13 @@
             out.push(Output::SendToMarker(from, PeerMessage::Servers(ticket, ended)));
         }
         if ticket > 0 {
-            self.sessions.start_wait(now, Waiter::Marker(from, ticket), &[]);
+            let write = self.server_log.write(now, out);
+            self.sessions.start_wait(now, Waiter::Marker(from, ticket), &[], write);
         }
     }
 
     fn send_servers(&mut self, changed: Vec<Instance>, out: &mut Vec<Output>) {
-        self.servers_changed = true;
+        self.server_log.record(&changed);
         self.sessions.send_all(&Update::Servers(changed), out);
     }
 
@@ -518,9 +514,13 @@
         self.sessions.close(session);
     }
 
-    /// Handles that all writes up to this ticket are on disk.
-    pub fn on_written(&mut self, now: Millis, ticket: u64, out: &mut Vec<Output>) {
-        self.core.on_written(now, ticket, out);
+    /// Handles that a write and all earlier ones of its kind are on disk.
+    pub fn on_written(&mut self, now: Millis, written: Written, out: &mut Vec<Output>) {
+        match written {
+            Written::State(ticket) => self.core.on_written(now, ticket, out),
+            Written::Servers(ticket) => self.server_log.on_written(ticket),
+            Written::Gatekeepers(_) => {}
+        }
         self.finish_step(now, out);
     }
 
@@ -543,7 +543,8 @@
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.core.on_tick(now, out);
         self.sessions.on_tick(now, out);
-        self.registry.on_tick(now, !self.in_quorum);
+        self.server_log.remove(self.registry.on_tick(now, !self.in_quorum));
+        self.server_log.on_tick(now, out);
         self.reap(now, out);
         let peers: Vec<Ipv4Addr> = self.core.live_markers();
         if now >= self.totals_at + TOTALS_INTERVAL {
@@ -573,10 +574,6 @@
                 );
             }
         }
-        if self.servers_changed && now >= self.servers_at + STORE_SERVERS_INTERVAL {
-            (self.servers_at, self.servers_changed) = (now, false);
-            out.push(Output::StoreServers(self.registry.live()));
-        }
         if now >= self.sessions_at + SESSIONS_INTERVAL {
             self.sessions_at = now;
             let known = self.core.known_markers();
@@ -619,7 +616,7 @@
         }
         let names = self.members.names();
         if names != self.stored_members && now >= self.started_at + MEMBERS_KNOWN_AFTER {
-            out.push(Output::StoreGatekeepers(names.clone()));
+            out.push(Output::StoreGatekeepers(0, names.clone()));
             self.stored_members = names;
         }
     }
@@ -732,25 +729,34 @@
         }
         // After the committed documents, so that a gatekeeper that learns of the quorum already has them.
         self.update_quorum_state(now, out);
-        for (waiter, confirmed_by) in self.sessions.finished_waits(now) {
-            // A gatekeeper in sync has a session with a marker of any majority, or receives all servers when
-            // it opens one.
-            let is_majority =
-                || self.in_quorum && self.core.majority_of_core(|ip| confirmed_by.contains(&ip));
-            out.push(match waiter {
-                Waiter::Call(id) if is_majority() => Output::Answer(id, Reply::done()),
-                Waiter::Call(id) => Output::Answer(
-                    id,
-                    Reply::failure(
-                        ErrorKind::Uncertain,
-                        "a majority of markers has not confirmed that all gatekeepers have the change",
-                    ),
-                ),
-                Waiter::Marker(ip, ticket) => Output::SendToMarker(ip, PeerMessage::Delivered(ticket)),
-            });
+        for wait in self.sessions.finished_waits(now, self.server_log.durable_ticket()) {
+            self.finish_wait(wait, out);
         }
     }
 
+    /// Answers the server or the marker that waits until a change is known and stored.
+    fn finish_wait(&self, wait: FinishedWait, out: &mut Vec<Output>) {
+        let FinishedWait { waiter, confirmed_by, is_durable } = wait;
+        let id = match waiter {
+            Waiter::Marker(ip, ticket) => {
+                return out.push(Output::SendToMarker(ip, PeerMessage::Delivered(ticket)));
+            }
+            Waiter::Call(id) => id,
+        };
+        // A gatekeeper in sync has a session with a marker of any majority, or receives all servers when it
+        // opens one. A quorum after a restart includes a marker of any majority.
+        let is_stored = self.core.is_stored_by_majority(is_durable, |ip| confirmed_by.contains(&ip));
+        let reply = if self.in_quorum && is_stored {
+            Reply::done()
+        } else {
+            Reply::failure(
+                ErrorKind::Uncertain,
+                "a majority of markers has not confirmed that all gatekeepers have the change and that it is on disk",
+            )
+        };
+        out.push(Output::Answer(id, reply));
+    }
+
     fn status(&self, now: Millis) -> String {
         let view = self.core.view();
         let ip = |node: &Node| node.ip.to_string();
--- a/crates/marker/src/store.rs
+++ b/crates/marker/src/store.rs
@@ -1,15 +1,20 @@
 //! The persistent storage of a marker, an SQLite database written by a thread of its own, so that a slow disk
 //! blocks nothing else.
 //!
-//! Each write holds a full [`PersistentState`]. Of the pending writes only the newest is made, and its ticket
-//! acknowledges the earlier ones too. Of the ledger only changed entries are written, one row for each
-//! version. A write that fails is retried: state that is not on disk is never acknowledged.
+//! Each write of the state holds a full [`PersistentState`]. Of the pending writes only the newest is made, and
+//! its ticket acknowledges the earlier ones too. Of the ledger only changed entries are written, one row for
+//! each version. Servers have one row each; pending writes of them are merged. A write that fails is retried:
+//! what is not on disk is never acknowledged.
+//!
+//! Earlier programs of the same format kept all servers in one value, without those that had ended, and ignore
+//! the rows. Where that value is found, such a program has run since: its live servers replace those of the
+//! rows.
 //!
 //! A database of format 1, which had no ledger, is migrated when it is opened: the ledger then holds the
 //! stored configuration only, and all lower versions count as forgotten.
 
-use crate::types::PersistentState;
-use granitelead_control_protocol::messages::{Digest, Document, Epoch, Instance, Ledger};
+use crate::types::{PersistentState, ServerWrite, Written};
+use granitelead_control_protocol::messages::{Digest, Document, Epoch, Instance, InstanceState, Ledger};
 use rusqlite::{params, Connection, ErrorCode, OptionalExtension};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -25,6 +30,11 @@
 const PREVIOUS_FORMAT: i64 = 1;
 /// Creates the table of the ledger, for new and for migrated databases.
 const CREATE_NUMBERS: &str = "CREATE TABLE numbers (version INTEGER PRIMARY KEY, digest BLOB NOT NULL)";
+/// Creates the table of servers where an earlier program of this format has left none.
+const CREATE_SERVERS: &str =
+    "CREATE TABLE IF NOT EXISTS servers (id TEXT PRIMARY KEY, value BLOB NOT NULL) WITHOUT ROWID";
+/// The name of the value in which earlier programs of this format kept all servers.
+const EARLIER_SERVERS: &str = "servers";
 /// The database file in the data directory.
 const FILE: &str = "marker.sqlite";
 /// The name that a damaged file is renamed to. An older file of that name is overwritten.
@@ -98,7 +108,7 @@
     pub store: Store,
     /// The stored state, unless the store is empty.
     pub state: Option<PersistentState>,
-    /// The servers that were stored last.
+    /// The stored servers, with those that have ended and are remembered.
     pub servers: Vec<Instance>,
     /// The names of the gatekeepers that were stored last.
     pub gatekeepers: Vec<String>,
@@ -202,6 +212,8 @@
             PREVIOUS_FORMAT => store.migrate()?,
             format => return FormatSnafu { file: store.file, format }.fail(),
         }
+        store.disk.execute(CREATE_SERVERS, []).context(DiskSnafu { file: &store.file })?;
+        store.take_over_earlier_servers()?;
         Ok(store)
     }
 
@@ -228,7 +240,11 @@
         let query = "SELECT value FROM kept WHERE name = ?1";
         let read = self.disk.query_row(query, params![name], |row| row.get::<_, Vec<u8>>(0)).optional();
         let Some(bytes) = read.context(DiskSnafu { file: &self.file })? else { return Ok(None) };
-        ciborium::from_reader(bytes.as_slice()).map(Some).map_err(|e| Fault::Content {
+        self.decode(name, &bytes).map(Some)
+    }
+
+    fn decode<T: DeserializeOwned>(&self, name: &str, bytes: &[u8]) -> Result<T, Fault> {
+        ciborium::from_reader(bytes).map_err(|e| Fault::Content {
             file: self.file.clone(),
             name: name.to_owned(),
             text: e.to_string(),
@@ -277,22 +293,57 @@
         Ok(Ledger::new(forgotten, entries))
     }
 
-    /// Reads the servers that were stored last.
+    /// Reads the stored servers, with those that have ended and are remembered.
     ///
     /// # Errors
     ///
-    /// The value can't be read or decoded.
+    /// A row can't be read or decoded.
     pub fn servers(&self) -> Result<Vec<Instance>, Fault> {
-        Ok(self.get("servers")?.unwrap_or_default())
+        let read = || -> rusqlite::Result<Vec<(String, Vec<u8>)>> {
+            let mut rows = self.disk.prepare("SELECT id, value FROM servers")?;
+            let rows = rows.query_map([], |row| Ok((row.get(0)?, row.get(1)?)))?;
+            rows.collect()
+        };
+        let rows = read().context(DiskSnafu { file: &self.file })?;
+        rows.into_iter().map(|(id, value)| self.decode(&format!("server {id}"), &value)).collect()
     }
 
-    /// Stores the servers.
+    /// Writes records of servers and syncs them to disk.
     ///
     /// # Errors
     ///
-    /// The write failed.
-    pub fn write_servers(&self, servers: &[Instance]) -> Result<(), Fault> {
-        self.write_part("servers", bytes(&servers))
+    /// The write failed; the earlier records are still stored.
+    pub fn write_servers(&mut self, write: &ServerWrite) -> Result<(), Fault> {
+        let put_all = |disk: &mut Connection| -> rusqlite::Result<()> {
+            let transaction = disk.transaction()?;
+            for (id, record) in &write.records {
+                match record {
+                    Some(instance) => put_server(&transaction, instance)?,
+                    None => drop(transaction.execute("DELETE FROM servers WHERE id = ?1", params![id])?),
+                }
+            }
+            transaction.commit()
+        };
+        put_all(&mut self.disk).context(DiskSnafu { file: &self.file })
+    }
+
+    /// Takes over the servers that an earlier program of this format stored in one value, if any.
+    fn take_over_earlier_servers(&mut self) -> Result<(), Fault> {
+        let Some(earlier) = self.get::<Vec<Instance>>(EARLIER_SERVERS)? else { return Ok(()) };
+        let stored = self.servers()?;
+        let replace = |disk: &mut Connection| -> rusqlite::Result<()> {
+            let transaction = disk.transaction()?;
+            for live in stored.iter().filter(|server| server.state != InstanceState::Gone) {
+                transaction.execute("DELETE FROM servers WHERE id = ?1", params![live.id])?;
+            }
+            let has_ended = |id: &String| stored.iter().any(|s| s.id == *id && s.sequence == u64::MAX);
+            for server in earlier.iter().filter(|server| !has_ended(&server.id)) {
+                put_server(&transaction, server)?;
+            }
+            transaction.execute("DELETE FROM kept WHERE name = ?1", params![EARLIER_SERVERS])?;
+            transaction.commit()
+        };
+        replace(&mut self.disk).context(DiskSnafu { file: &self.file })
     }
 
     /// Reads the names of the gatekeepers that were stored last.
@@ -310,12 +361,8 @@
     ///
     /// The write failed.
     pub fn write_gatekeepers(&self, names: &[String]) -> Result<(), Fault> {
-        self.write_part("gatekeepers", bytes(&names))
-    }
-
-    fn write_part(&self, name: &str, value: Vec<u8>) -> Result<(), Fault> {
-        let put = "INSERT OR REPLACE INTO kept (name, value) VALUES (?1, ?2)";
-        self.disk.execute(put, params![name, value]).context(DiskSnafu { file: &self.file })?;
+        let put = "INSERT OR REPLACE INTO kept (name, value) VALUES ('gatekeepers', ?1)";
+        self.disk.execute(put, params![bytes(&names)]).context(DiskSnafu { file: &self.file })?;
         Ok(())
     }
 
@@ -385,64 +432,85 @@
     bytes
 }
 
-/// A write for the thread that owns the store.
+fn put_server(disk: &Connection, instance: &Instance) -> rusqlite::Result<()> {
+    let mut put = disk.prepare_cached("INSERT OR REPLACE INTO servers (id, value) VALUES (?1, ?2)")?;
+    put.execute(params![instance.id, bytes(instance)]).map(drop)
+}
+
+/// A write for the thread that owns the store. Its ticket is reported once it is on disk.
 #[derive(Debug)]
 pub enum Job {
-    /// The state of the marker; its ticket is reported once it is on disk.
+    /// The state of the marker.
     State(u64, PersistentState),
-    /// The servers; a failed write is not retried.
-    Servers(Vec<Instance>),
-    /// The names of the gatekeepers; a failed write is not retried.
-    Gatekeepers(Vec<String>),
+    /// Records of servers.
+    Servers(ServerWrite),
+    /// The names of the gatekeepers.
+    Gatekeepers(u64, Vec<String>),
 }
 
-/// The newest pending write of each kind.
+/// The pending writes of each kind: the newest state and names, and the newest record of each server.
 #[derive(Default)]
 struct Pending {
     state: Option<(u64, PersistentState)>,
-    servers: Option<Vec<Instance>>,
-    gatekeepers: Option<Vec<String>>,
+    servers: Option<ServerWrite>,
+    gatekeepers: Option<(u64, Vec<String>)>,
 }
 
 impl Pending {
     fn take(&mut self, job: Job) {
         match job {
             Job::State(ticket, state) => self.state = Some((ticket, state)),
-            Job::Servers(known) => self.servers = Some(known),
-            Job::Gatekeepers(names) => self.gatekeepers = Some(names),
+            Job::Servers(write) => {
+                let servers = self.servers.get_or_insert_default();
+                servers.ticket = write.ticket;
+                servers.records.extend(write.records);
+            }
+            Job::Gatekeepers(ticket, names) => self.gatekeepers = Some((ticket, names)),
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.state.is_none() && self.servers.is_none() && self.gatekeepers.is_none()
+    }
+
+    /// Makes the writes and reports each that is on disk; what remains after a failure is still pending.
+    fn write(&mut self, store: &mut Store, written: &mut impl FnMut(Written)) -> Result<(), Fault> {
+        if let Some((ticket, state)) = &self.state {
+            store.write(state)?;
+            written(Written::State(*ticket));
+            self.state = None;
+        }
+        if let Some(write) = &self.servers {
+            store.write_servers(write)?;
+            written(Written::Servers(write.ticket));
+            self.servers = None;
         }
+        if let Some((ticket, names)) = &self.gatekeepers {
+            store.write_gatekeepers(names)?;
+            written(Written::Gatekeepers(*ticket));
+            self.gatekeepers = None;
+        }
+        Ok(())
     }
 }
 
-/// Performs writes until all senders are dropped, and reports the ticket of each state that is on disk.
-pub fn run(mut store: Store, jobs: &mpsc::Receiver<Job>, mut written: impl FnMut(u64)) {
+/// Performs writes until all senders are dropped, and reports each that is on disk.
+pub fn run(mut store: Store, jobs: &mpsc::Receiver<Job>, mut written: impl FnMut(Written)) {
     let (mut pending, mut failing) = (Pending::default(), false);
     while let Ok(job) = jobs.recv() {
-        for job in std::iter::once(job).chain(jobs.try_iter()) {
-            pending.take(job);
-        }
-        while let Some((ticket, state)) = pending.state.take() {
-            match store.write(&state) {
-                Ok(()) => {
-                    failing = false;
-                    written(ticket);
-                }
+        pending.take(job);
+        while !pending.is_empty() {
+            jobs.try_iter().for_each(|job| pending.take(job));
+            match pending.write(&mut store, &mut written) {
+                Ok(()) => failing = false,
                 Err(fault) => {
                     if !std::mem::replace(&mut failing, true) {
                         log::error!("write failed, retrying until it succeeds: {fault}");
                     }
                     std::thread::sleep(RETRY_DELAY);
-                    pending.state = Some((ticket, state));
-                    jobs.try_iter().for_each(|job| pending.take(job));
                 }
             }
         }
-        if let Some(Err(fault)) = pending.servers.take().map(|known| store.write_servers(&known)) {
-            log::warn!("servers not stored: {fault}");
-        }
-        if let Some(Err(fault)) = pending.gatekeepers.take().map(|names| store.write_gatekeepers(&names)) {
-            log::warn!("gatekeepers not stored: {fault}");
-        }
     }
 }
 
@@ -568,7 +636,7 @@
         }
         drop(send);
         let mut reported = Vec::new();
-        run(Store::in_memory().unwrap(), &writes, |ticket| reported.push(ticket));
-        expect_that!(reported, eq(&vec![5]));
+        run(Store::in_memory().unwrap(), &writes, |written| reported.push(written));
+        expect_that!(reported, eq(&vec![Written::State(5)]));
     }
 }
--- a/crates/marker/src/types.rs
+++ b/crates/marker/src/types.rs
@@ -72,6 +72,26 @@
 /// Identifies a session of a gatekeeper within this process.
 pub type SessionId = u64;
 
+/// Records of servers to be written to disk.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServerWrite {
+    /// Identifies the write. It is reported once this write and all earlier ones are durable.
+    pub ticket: u64,
+    /// The new record of each server; none if its record is to be removed.
+    pub records: BTreeMap<String, Option<Instance>>,
+}
+
+/// A write that is durable, with the ticket of its kind: so are all earlier writes of that kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// The state of the core.
+    State(u64),
+    /// Records of servers.
+    Servers(u64),
+    /// The names of the gatekeepers.
+    Gatekeepers(u64),
+}
+
 /// An action that a state machine asks its caller to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
@@ -85,10 +105,10 @@
     Persist(u64, PersistentState),
     /// Reply to a call.
     Answer(u64, Reply),
-    /// Store the servers on disk at low priority.
-    StoreServers(Vec<Instance>),
-    /// Store the names of the gatekeepers on disk at low priority.
-    StoreGatekeepers(Vec<String>),
+    /// Write the records of changed servers to disk and report the ticket once they are durable.
+    StoreServers(ServerWrite),
+    /// Write the names of the gatekeepers to disk and report the ticket once they are durable.
+    StoreGatekeepers(u64, Vec<String>),
     /// A configuration is committed: it can't be lost any more.
     Committed(Arc<Document>),
 }
--- a/crates/marker/tests/callers.rs
+++ b/crates/marker/tests/callers.rs
@@ -17,7 +17,7 @@
 
 /// The waiters whose waits have ended.
 fn ended(sessions: &mut Sessions) -> Vec<Waiter> {
-    sessions.finished_waits(200).into_iter().map(|(waiter, _)| waiter).collect()
+    sessions.finished_waits(200, 0).into_iter().map(|wait| wait.waiter).collect()
 }
 
 #[gtest]
@@ -25,9 +25,9 @@
     // A draining server waits until the gatekeepers of the other marker know; that marker confirms within
     // 0.55 s. By then this marker may have restarted and wait on behalf of another server.
     let mut earlier = sessions(1);
-    let ticket = earlier.start_wait(0, Waiter::Call(1), &[PEER]);
+    let ticket = earlier.start_wait(0, Waiter::Call(1), &[PEER], 0);
     let mut restarted = sessions(2);
-    let own = restarted.start_wait(100, Waiter::Call(2), &[PEER]);
+    let own = restarted.start_wait(100, Waiter::Call(2), &[PEER], 0);
     restarted.on_confirmed(PEER, ticket);
     expect_that!(ended(&mut restarted), is_empty());
     restarted.on_confirmed(Ipv4Addr::new(10, 0, 0, 3), own);
--- a/crates/marker/tests/common/world.rs
+++ b/crates/marker/tests/common/world.rs
@@ -303,7 +303,7 @@
                 | Output::CloseSession(_)
                 | Output::Committed(_)
                 | Output::StoreServers(_)
-                | Output::StoreGatekeepers(_) => {}
+                | Output::StoreGatekeepers(..) => {}
             }
         }
     }
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -10,7 +10,8 @@
 //! from all markers, of a marker from the other markers), `join` ends all its cuts (`back`: only the others'
 //! lines to it break). Of a marker also `join m2`, `deaf` (receives nothing from other markers), `mute` (no
 //! other marker receives from it), `alone` (cut from markers and gatekeepers), `cut gates` (from gatekeepers
-//! only), `cut servers` and `cut operators`; of a gatekeeper `cut m1`.
+//! only), `cut servers` and `cut operators`; of a gatekeeper `cut m1`. `hang` lets no further write of a marker
+//! reach its disk, and `wipe` erases the disk of one that is down.
 //!
 //! Cells of the column `outside`, actions: `put 7` sends a configuration, `read` asks for it, `beat s1`,
 //! `drain s1` and `leave s1` are calls of a server; each goes to the first marker that is up unless a marker
@@ -40,7 +41,7 @@
 use granitelead_proxy::gate::Gate;
 use marker::core::{initial_state, Core};
 use marker::state::{Call, Marker};
-use marker::types::{Output, PersistentState, Reply};
+use marker::types::{Output, PersistentState, Reply, ServerWrite, Written};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
@@ -57,10 +58,13 @@
     pub ip: Ipv4Addr,
     pub marker: Option<Marker>,
     disk: Option<PersistentState>,
-    servers: Vec<Instance>,
+    /// The records of servers on its disk.
+    servers: BTreeMap<String, Instance>,
     /// The gatekeepers listed on its disk.
     gatekeepers: Vec<String>,
     start: u32,
+    /// Whether its disk takes in writes and never completes them.
+    disk_hangs: bool,
     /// Open sessions by number: the gatekeeper, and when something was last received from it.
     sessions: BTreeMap<u64, (usize, u64)>,
 }
@@ -78,13 +82,48 @@
     reported_servers: BTreeMap<Ipv4Addr, BTreeMap<String, InstanceState>>,
 }
 
+impl MarkerNode {
+    /// Completes a write on its disk.
+    fn store(&mut self, write: DiskWrite) -> Written {
+        match write {
+            DiskWrite::State(ticket, state) => {
+                self.disk = Some(state);
+                Written::State(ticket)
+            }
+            DiskWrite::Servers(write) => {
+                for (id, record) in write.records {
+                    match record {
+                        Some(instance) => drop(self.servers.insert(id, instance)),
+                        None => drop(self.servers.remove(&id)),
+                    }
+                }
+                Written::Servers(write.ticket)
+            }
+            DiskWrite::Gatekeepers(ticket, names) => {
+                self.gatekeepers = names;
+                Written::Gatekeepers(ticket)
+            }
+        }
+    }
+}
+
 enum Event {
     Between(usize, usize, u64, Node, PeerMessage),
-    Written(usize, u32, u64, PersistentState),
+    Written(usize, u32, DiskWrite),
     Up(usize, usize, u32, u64, ToMarker),
     Down(usize, usize, u32, u64, ToGatekeeper),
 }
 
+/// A write that a marker has begun.
+enum DiskWrite {
+    State(u64, PersistentState),
+    Servers(ServerWrite),
+    Gatekeepers(u64, Vec<String>),
+}
+
+/// How long a disk write takes, ms.
+const DISK_WRITE_TIME: u64 = 5;
+
 /// A connection from one marker to another.
 #[derive(Default)]
 struct Line {
@@ -133,9 +172,8 @@
     pub bytes_between: usize,
     /// Servers that send periodic heartbeats.
     beats: BTreeSet<String>,
-    /// Maximum time until a broken line is dialled again, ms; and whether servers are kept on disk.
+    /// Maximum time until a broken line is dialled again, ms.
     pub redial_max: u64,
-    pub keeps_servers: bool,
     /// Whether a gatekeeper refuses requests until it has a configuration, as `Gate::admit` does.
     pub needs_configuration: bool,
     rng: fastrand::Rng,
@@ -194,8 +232,9 @@
             ip: Ipv4Addr::new(10, 0, 0, 1 + n as u8),
             marker: None,
             disk: None,
-            servers: Vec::new(),
+            servers: BTreeMap::new(),
             gatekeepers: Vec::new(),
+            disk_hangs: false,
             start: 0,
             sessions: BTreeMap::new(),
         };
@@ -233,7 +272,6 @@
             bytes_between: 0,
             beats: BTreeSet::new(),
             redial_max: 0,
-            keeps_servers: false,
             needs_configuration: false,
             rng: fastrand::Rng::with_seed(seed),
         }
@@ -298,9 +336,13 @@
             (None, ["up"]) => {
                 let seeds = self.seeds();
                 let (node, seed) = (&mut self.markers[n], self.rng.u64(..));
-                let keeping = node.disk.clone().unwrap_or_else(|| initial_state(node.ip, &seeds, true, seed));
+                let keeping = node
+                    .disk
+                    .clone()
+                    .unwrap_or_else(|| initial_state(node.ip, &seeds, node.start == 0, seed));
                 let core = Core::new(keeping, &seeds, (markers - 1) / 2, seed, self.now);
-                let marker = Marker::new(core, format!("zone-{n}"), 1_500, node.servers.clone());
+                let marker =
+                    Marker::new(core, format!("zone-{n}"), 1_500, node.servers.values().cloned().collect());
                 node.marker = Some(marker.with_stored_gatekeepers(node.gatekeepers.clone(), 5_000));
                 node.start += 1;
                 // Connections to its previous incarnation are reset.
@@ -326,6 +368,11 @@
                     }
                 }
             }
+            (None, ["wipe"]) => {
+                let node = &mut self.markers[n];
+                (node.disk, node.servers, node.gatekeepers) = (None, BTreeMap::new(), Vec::new());
+            }
+            (None, ["hang"]) => self.markers[n].disk_hangs = true,
             (None, ["cut"]) => (0..markers).filter(|m| *m != n).for_each(|m| {
                 self.cuts.extend([(n, m), (m, n)]);
             }),
@@ -463,8 +510,10 @@
                         self.schedule(1, Event::Down(n, g, start, id, message));
                     }
                 }
-                Output::Persist(ticket, keeping) => {
-                    self.schedule(5, Event::Written(n, start, ticket, keeping))
+                Output::Persist(ticket, state) => self.write(n, start, DiskWrite::State(ticket, state)),
+                Output::StoreServers(write) => self.write(n, start, DiskWrite::Servers(write)),
+                Output::StoreGatekeepers(ticket, names) => {
+                    self.write(n, start, DiskWrite::Gatekeepers(ticket, names));
                 }
                 Output::Answer(id, reply) => {
                     let reaches = self.calls.get(&id).is_some_and(|pending| !self.is_cut(n, pending.by));
@@ -473,17 +522,18 @@
                         self.answers.push((id, n, reply));
                     }
                 }
-                Output::StoreServers(servers) => {
-                    if self.keeps_servers {
-                        self.markers[n].servers = servers;
-                    }
-                }
-                Output::StoreGatekeepers(names) => self.markers[n].gatekeepers = names,
                 Output::CloseSession(_) | Output::Committed(_) => {}
             }
         }
     }
 
+    /// Begins a write, unless the disk of the marker hangs.
+    fn write(&mut self, n: usize, start: u32, write: DiskWrite) {
+        if !self.markers[n].disk_hangs {
+            self.schedule(DISK_WRITE_TIME, Event::Written(n, start, write));
+        }
+    }
+
     fn handle(&mut self, event: Event) {
         let (from, to) = match &event {
             Event::Between(from, to, ..) => (*from, *to),
@@ -501,9 +551,9 @@
                     self.step(to, |marker, now, out| marker.on_peer_message(now, node, message, out));
                 }
             }
-            Event::Written(n, start, ticket, keeping) if self.markers[n].start == start => {
-                self.markers[n].disk = Some(keeping);
-                self.step(n, |marker, now, out| marker.on_written(now, ticket, out));
+            Event::Written(n, start, write) if self.markers[n].start == start => {
+                let written = self.markers[n].store(write);
+                self.step(n, |marker, now, out| marker.on_written(now, written, out));
             }
             Event::Up(g, m, start, id, message) if self.markers[m].start == start => {
                 let (now, opens) = (self.now, matches!(message, ToMarker::Hello { .. }));
@@ -723,10 +773,13 @@
 
     fn call(&mut self, name: &str, call: Call, at: Option<&str>) {
         let n = match at {
-            Some(at) => self.index(at),
-            None => self.markers.iter().position(|b| b.marker.is_some()).unwrap(),
+            Some(at) => Some(self.index(at)),
+            None => self.markers.iter().position(|b| b.marker.is_some()),
         };
-        self.call_at(n, name, call);
+        // While no marker is up, a call fails at once.
+        if let Some(n) = n {
+            self.call_at(n, name, call);
+        }
     }
 
     fn beat(&mut self, id: &str, state: &str, at: Option<&str>) {
--- a/crates/proxy/tests/contact.rs
+++ b/crates/proxy/tests/contact.rs
@@ -384,7 +384,7 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let (markers, gatekeepers) = (if rng.u32(0..4) == 0 { 5 } else { 3 }, 4);
         let mut simulation = Simulation::with_seed(markers, gatekeepers, rng.u64(..));
-        (simulation.counts_bytes, simulation.keeps_servers, simulation.redial_max) = (false, true, 1_300);
+        (simulation.counts_bytes, simulation.redial_max) = (false, 1_300);
         (0..markers + gatekeepers).for_each(|n| simulation.act(n, "up"));
         RandomSchedule {
             simulation,
@@ -425,7 +425,7 @@
         let m = self.rng.usize(0..markers);
         let g = markers + self.rng.usize(0..gatekeepers);
         let down = (0..markers).filter(|m| !self.is_running(*m)).count();
-        let act = match self.rng.u32(0..18) {
+        let act = match self.rng.u32(0..19) {
             0 => (m, "cut"),
             1 => (m, "deaf"),
             2 => (m, "mute"),
@@ -454,6 +454,7 @@
                 self.versions[g - markers] = None;
                 (g, if self.rng.bool() { "kill" } else { "power" })
             }
+            18 => return self.restart_all(),
             _ => {
                 self.end_some_faults();
                 return;
@@ -462,6 +463,24 @@
         self.simulation.act(act.0, act.1);
     }
 
+    /// All processes end at the same moment, often right after an acknowledgement, and start within a second.
+    fn restart_all(&mut self) {
+        let all = self.markers() + self.simulation.gatekeepers.len();
+        if self.rng.bool() {
+            let (known, until) = (self.counts[0], self.simulation.now + 3_000);
+            while self.counts[0] == known && self.simulation.now < until {
+                let next = self.simulation.now + 25;
+                self.run(next, false);
+            }
+        }
+        let way = if self.rng.bool() { "kill" } else { "power" };
+        (0..all).for_each(|n| self.simulation.act(n, way));
+        self.versions.fill(None);
+        let until = self.simulation.now + self.rng.u64(25..1_000);
+        self.run(until, false);
+        (0..all).for_each(|n| self.start(n));
+    }
+
     /// Ends a random part of the faults.
     fn end_some_faults(&mut self) {
         let all = self.markers() + self.simulation.gatekeepers.len();
@@ -515,7 +534,10 @@
             }
             let may = server.last_heartbeat.is_some() && !calm && server.state == ServerState::Ready;
             if may && self.rng.u32(0..400) == 0 {
-                (server.state, server.next) = (ServerState::Draining, now);
+                // Some servers deregister without draining before.
+                let drains = self.rng.bool();
+                server.state = if drains { ServerState::Draining } else { ServerState::Leaving };
+                server.next = now;
             }
             if now < server.next {
                 continue;
@@ -589,7 +611,13 @@
                     self.drains.push((server.id.clone(), now));
                     (server.state, server.next) = (ServerState::Leaving, now + 2_000);
                 }
-                ServerState::Leaving => drop(self.servers.remove(at)),
+                ServerState::Leaving => {
+                    let id = self.servers.remove(at).id;
+                    if !self.drains.iter().any(|(drained, _)| *drained == id) {
+                        self.counts[0] += 1;
+                        self.drains.push((id, now));
+                    }
+                }
             }
             return;
         }
@@ -634,13 +662,11 @@
     /// Checks the invariants that hold at any time.
     fn check_invariants(&mut self) {
         let (now, markers) = (self.simulation.now, self.markers());
-        // A marker that reports a quorum must have reported drains before. Servers that have deregistered may
-        // be unknown to a marker that was restarted: its disk lists only those that exist.
-        let exists = |id: &String| self.servers.iter().any(|s| s.id == *id);
+        // A marker that reports a quorum must have reported drains and deregistrations before.
         for (m, g, ready) in std::mem::take(&mut self.simulation.quorum_reports) {
             let mut stale = self.drains.iter().filter(|(id, at)| now > at + 1_000 && ready.contains(id));
             // Messages that waited on a cut link describe the time before it.
-            let stale = stale.find(|(id, _)| exists(id) && now > self.connected_since[g] + 3_000);
+            let stale = stale.find(|_| now > self.connected_since[g] + 3_000);
             assert!(stale.is_none(), "m{} reports a quorum to g{} at {now} without {stale:?}", m + 1, g + 1);
         }
         let has_majority: Vec<bool> = (0..markers).map(|m| self.has_majority(m)).collect();
