Apply the reported end of a server once it has stopped answering

A server that a marker ends for missing heartbeats within 3 s of its last answer here stayed in the list of that gatekeeper as ready for as long as the process lived: the end was ignored and is reported once only.

Cause: an answer outweighs missed heartbeats, but the report was dropped in place of being kept. Change: the end is kept, takes effect when the server has not answered for 3 s, and is dropped when a newer heartbeat arrives. Test: a_reported_end_takes_effect_once_the_server_has_stopped_answering (2 servers stay ready without the change, 1 with it).

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -279,6 +279,7 @@
     pub fn on_tick(&mut self, now: Millis) -> Vec<(Ipv4Addr, ToMarker)> {
         let mut messages = self.control.on_tick(now);
         self.apply_deferred(now, &mut messages);
+        self.servers.on_tick(now);
         if let Some((all, missed)) = self.control.gatekeepers() {
             self.budget.set_gatekeepers(all);
             self.tenants.set_gatekeepers(now, all, missed);
--- a/crates/proxy/src/servers.rs
+++ b/crates/proxy/src/servers.rs
@@ -42,6 +42,15 @@
     avoid_until: Millis,
     cold_until: Millis,
     gone_at: Millis,
+    /// The end that a marker reported for missing heartbeats, while answers received here outweigh it.
+    suspended_end: Option<Instance>,
+}
+
+impl Server {
+    /// Whether it answered here so recently that it is alive whatever a marker misses.
+    fn has_just_answered(&self, now: Millis) -> bool {
+        self.answered_at.is_some_and(|at| now < at + ANSWER_VALIDITY)
+    }
 }
 
 /// What the end of a request shows about its server.
@@ -98,6 +107,7 @@
                         avoid_until: 0,
                         cold_until,
                         gone_at: 0,
+                        suspended_end: None,
                     };
                     self.by_id.insert(id, server);
                 }
@@ -109,12 +119,28 @@
             // An answer received here outweighs missed heartbeats at a marker; a server that deregistered has
             // ended.
             let silent = update.state == InstanceState::Gone && update.sequence != u64::MAX;
-            if silent && server.answered_at.is_some_and(|at| now < at + ANSWER_VALIDITY) {
+            if silent && server.has_just_answered(now) {
+                server.suspended_end = Some(update);
                 continue;
             }
             server.instance.update(update);
-            server.gone_at = now;
+            (server.gone_at, server.suspended_end) = (now, None);
+        }
+        self.forget_ended(now);
+    }
+
+    /// Ends the servers whose end was reported and that have stopped answering since.
+    pub fn on_tick(&mut self, now: Millis) {
+        for server in self.by_id.values_mut().filter(|server| !server.has_just_answered(now)) {
+            if let Some(end) = server.suspended_end.take() {
+                server.instance.update(end);
+                server.gone_at = now;
+            }
         }
+    }
+
+    /// Removes the servers that have been gone for long.
+    fn forget_ended(&mut self, now: Millis) {
         let is_forgotten = |s: &Server| {
             s.instance.state == InstanceState::Gone && s.in_flight == 0 && now >= s.gone_at + GONE_RETENTION
         };
@@ -320,6 +346,26 @@
         expect_true!(servers.all().is_empty());
     }
 
+    /// Guards against a server that is sent requests for as long as the process lives, because its end was
+    /// reported within the moments after its last answer and is never reported again.
+    #[gtest]
+    fn a_reported_end_takes_effect_once_the_server_has_stopped_answering() {
+        let mut servers = servers(&[("x", "a"), ("y", "a")]);
+        for id in ["x", "y"] {
+            servers.begin(id);
+            servers.end(1_000, id, Observation::Success(10), 250);
+        }
+        let ends = ["x", "y"].map(|id| instance(id, "a", 1, InstanceState::Gone));
+        servers.update(2_000, ends.to_vec());
+        // A heartbeat of one arrives at a marker after all.
+        servers.update(2_500, vec![instance("y", "a", 2, InstanceState::Ready)]);
+        servers.on_tick(3_999);
+        expect_that!(servers.ready("s"), eq(2));
+        servers.on_tick(4_000);
+        expect_that!(servers.ready("s"), eq(1));
+        expect_that!(servers.get("y").unwrap().instance.state, eq(InstanceState::Ready));
+    }
+
     #[gtest]
     fn a_server_is_not_rated_slow_for_slow_kinds_of_requests() {
         let mut servers = servers(&[("x", "a"), ("y", "a")]);
