Count a gatekeeper only once its name is on disk

After a loss of all markers right after a gatekeeper had joined, the others took the whole of each quota while that gatekeeper, cut off, went on with its part: up to 1/n more than the quota.

Cause: gatekeepers were sent the new number at the moment at which the write of the names began. Evidence: a_gatekeeper_that_was_counted_is_still_counted_after_the_end_of_all_markers fails before: (3, 0) in place of (4, 1). Change: a name is written as soon as a marker reports it, and is counted once it is both on disk and agreed. Gatekeepers that no marker counts yet are told no number, so they keep to a 64th as before. Tests: the one above, and a_gatekeeper_is_counted_once_its_name_is_on_disk.

--- a/crates/marker/src/members.rs
+++ b/crates/marker/src/members.rs
@@ -3,7 +3,8 @@
 //! A gatekeeper that is missing may be cut off and still admit requests within its even share of each quota,
 //! so the others leave it that share. It stays counted until its process has announced its end, or for a
 //! long time: silence does not prove that it ended. The names are kept on disk, so that a marker that
-//! restarts also knows of gatekeepers that can't reach it.
+//! restarts also knows of gatekeepers that can't reach it. A gatekeeper is counted only once its name is on
+//! disk: otherwise a restart of all markers could forget one that goes on using its share.
 //!
 //! The shares add up to the whole quota only where all markers divide by the same number. Therefore the
 //! number changes only while all markers of the group count together. Until then the share of a gatekeeper
@@ -11,7 +12,7 @@
 //! of the gatekeepers that it counts with.
 
 use crate::types::Millis;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
 /// A gatekeeper that no marker has heard for this long is missing.
@@ -33,8 +34,9 @@
     /// When it was last heard; negative if that was before this process started.
     last_heard: i64,
     remove_at: Millis,
-    /// Whether it is included in the number by which all markers divide the quotas.
-    is_counted: bool,
+    /// Whether all markers know it. Once its name is also on disk it is included in the number by which all
+    /// divide the quotas.
+    is_agreed: bool,
 }
 
 impl Member {
@@ -59,6 +61,10 @@
     ended: BTreeMap<String, Millis>,
     /// Since when all markers have counted together; none while they do not.
     agreed_since: Option<Millis>,
+    /// The names that are on disk.
+    durable: BTreeSet<String>,
+    /// The ticket and the names of the last write.
+    last_write: (u64, BTreeSet<String>),
 }
 
 impl Members {
@@ -66,9 +72,32 @@
     pub fn stored(now: Millis, names: Vec<String>) -> Members {
         let remove_at = now + REMOVE_STORED_AFTER;
         let last_heard = signed(now) - signed(MISSING_AFTER);
+        let durable: BTreeSet<String> = names.iter().cloned().collect();
         let member =
-            |name| (name, Member { attached_to: NOT_ATTACHED, last_heard, remove_at, is_counted: true });
-        Members { members: names.into_iter().map(member).collect(), ..Members::default() }
+            |name| (name, Member { attached_to: NOT_ATTACHED, last_heard, remove_at, is_agreed: true });
+        Members {
+            members: names.into_iter().map(member).collect(),
+            durable: durable.clone(),
+            last_write: (0, durable),
+            ..Members::default()
+        }
+    }
+
+    /// Returns the names to be written to disk, with a ticket, if they differ from those of the last write.
+    pub fn write(&mut self) -> Option<(u64, Vec<String>)> {
+        if self.members.keys().eq(&self.last_write.1) {
+            return None;
+        }
+        let names: Vec<String> = self.members.keys().cloned().collect();
+        self.last_write = (self.last_write.0 + 1, names.iter().cloned().collect());
+        Some((self.last_write.0, names))
+    }
+
+    /// Handles that the write with this ticket is on disk.
+    pub fn on_written(&mut self, ticket: u64) {
+        if ticket == self.last_write.0 {
+            self.durable.clone_from(&self.last_write.1);
+        }
     }
 
     /// Whether all markers know the same gatekeepers by now.
@@ -77,7 +106,7 @@
     }
 
     fn counted(&self) -> impl Iterator<Item = (&String, &Member)> {
-        self.members.iter().filter(|(_, member)| member.is_counted)
+        self.members.iter().filter(|(name, member)| member.is_agreed && self.durable.contains(*name))
     }
 
     /// Takes in a marker's report of all gatekeepers that are attached to it: others that were attached to
@@ -89,7 +118,7 @@
                 member.attached_to = NOT_ATTACHED;
             }
         }
-        let is_counted = self.are_agreed(now) || self.counted().next().is_none();
+        let is_agreed = self.are_agreed(now) || !self.members.values().any(|member| member.is_agreed);
         for name in names {
             self.ended.remove(&name);
             if let Some(member) = self.members.get_mut(&name) {
@@ -100,7 +129,7 @@
             } else if self.members.len() < MEMBERS_MAX {
                 let last_heard = signed(now) - if counts_together { 0 } else { signed(MISSING_AFTER) };
                 let member =
-                    Member { attached_to: marker, last_heard, remove_at: now + REMOVE_AFTER, is_counted };
+                    Member { attached_to: marker, last_heard, remove_at: now + REMOVE_AFTER, is_agreed };
                 self.members.insert(name, member);
             }
         }
@@ -114,7 +143,7 @@
             if self.members.len() < MEMBERS_MAX {
                 let last_heard = signed(now) - signed(age.max(MISSING_AFTER));
                 let remove_at = now + (REMOVE_AFTER - age);
-                let member = Member { attached_to: NOT_ATTACHED, last_heard, remove_at, is_counted: true };
+                let member = Member { attached_to: NOT_ATTACHED, last_heard, remove_at, is_agreed: true };
                 self.members.entry(name).or_insert(member);
             }
         }
@@ -151,7 +180,7 @@
         self.agreed_since = all_together.then(|| self.agreed_since.unwrap_or(now));
         if self.are_agreed(now) {
             self.members.retain(|name, _| !self.ended.contains_key(name));
-            self.members.values_mut().for_each(|member| member.is_counted = true);
+            self.members.values_mut().for_each(|member| member.is_agreed = true);
         }
         for member in self.members.values_mut() {
             // A marker that is heard would have reported that it no longer hears one of its gatekeepers.
@@ -177,6 +206,11 @@
         self.ended.iter().map(|(name, at)| (name.clone(), now - at)).collect()
     }
 
+    /// Whether any gatekeeper counts for the divisor.
+    pub fn any_counted(&self) -> bool {
+        self.counted().next().is_some()
+    }
+
     /// The names of the gatekeepers that count for the divisor.
     pub fn names(&self) -> Vec<String> {
         self.counted().map(|(name, _)| name.clone()).collect()
@@ -198,11 +232,20 @@
     /// A time by which the markers have counted together long enough to agree.
     const LATER: Millis = 1_000 + AGREEMENT_DELAY;
 
+    /// Writes the names to a disk that takes no time.
+    fn write(members: &mut Members) {
+        if let Some((ticket, _)) = members.write() {
+            members.on_written(ticket);
+        }
+    }
+
     fn together(members: &mut Members, now: Millis) -> (u32, u32) {
+        write(members);
         members.update(now, true, |ip| (ip == HERE).then_some(now))
     }
 
     fn separately(members: &mut Members, now: Millis) -> (u32, u32) {
+        write(members);
         members.update(now, false, |ip| (ip == HERE).then_some(now))
     }
 
@@ -244,11 +287,30 @@
     fn gatekeepers_of_a_marker_that_counts_separately_are_missing() {
         let mut members = Members::default();
         members.on_report(1_000, THERE, names(&["a", "b"]), true);
+        write(&mut members);
         expect_that!(members.update(1_500, true, |_| Some(1_500)), eq((2, 0)));
         members.on_report(2_000, THERE, names(&["a", "b"]), false);
         expect_that!(members.update(2_000, false, |_| None), eq((2, 2)));
     }
 
+    #[gtest]
+    fn a_gatekeeper_is_counted_once_its_name_is_on_disk() {
+        let mut members = three();
+        members.on_report(LATER + 100, HERE, names(&["a", "b", "c", "d"]), true);
+        let update = |members: &mut Members| members.update(LATER + 100, true, |_| Some(LATER + 100));
+        expect_that!(update(&mut members), eq((3, 0)));
+        let (first, _) = members.write().unwrap();
+        expect_that!(members.write(), none());
+        expect_that!(update(&mut members), eq((3, 0)));
+        members.on_report(LATER + 100, HERE, names(&["a", "b", "c", "d", "e"]), true);
+        let (second, stored) = members.write().unwrap();
+        expect_that!(stored, eq(&names(&["a", "b", "c", "d", "e"])));
+        members.on_written(first);
+        expect_that!(update(&mut members), eq((3, 0)));
+        members.on_written(second);
+        expect_that!(update(&mut members), eq((5, 0)));
+    }
+
     #[gtest]
     fn stored_gatekeepers_are_missing_until_reported_and_removed_after_a_minute() {
         let mut members = Members::stored(0, names(&["a", "b"]));
--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -75,8 +75,6 @@
     members: Members,
     /// The markers whose gatekeepers share quotas with those attached here.
     counts_with: BTreeSet<Ipv4Addr>,
-    /// The names of the gatekeepers last written to disk.
-    stored_members: Vec<String>,
     /// Whether the number of gatekeepers is known.
     knows_members: bool,
     /// When this process started.
@@ -141,7 +139,6 @@
             peers: BTreeMap::new(),
             members: Members::default(),
             counts_with: BTreeSet::new(),
-            stored_members: Vec::new(),
             knows_members: false,
             started_at,
             sent_member_counts: (0, 0),
@@ -164,7 +161,6 @@
     #[must_use]
     pub fn with_stored_gatekeepers(mut self, gatekeepers: Vec<String>, window: Millis) -> Marker {
         self.knows_members = !gatekeepers.is_empty();
-        self.stored_members.clone_from(&gatekeepers);
         self.members = Members::stored(self.started_at, gatekeepers);
         self.sent_member_counts = self.members.update(self.started_at, false, |_| None);
         self.tally = Tally::new(window, self.started_at);
@@ -519,7 +515,7 @@
         match written {
             Written::State(ticket) => self.core.on_written(now, ticket, out),
             Written::Servers(ticket) => self.server_log.on_written(ticket),
-            Written::Gatekeepers(_) => {}
+            Written::Gatekeepers(ticket) => self.members.on_written(ticket),
         }
         self.finish_step(now, out);
     }
@@ -605,7 +601,8 @@
         let counts = self.members.update(now, all_together, |ip| {
             peers_by_ip.get(&ip).filter(|_| counted.contains(&ip)).map(|peer| peer.last_message_at)
         });
-        self.knows_members |= now >= self.started_at + MEMBERS_KNOWN_AFTER;
+        let has_received_all = now >= self.started_at + MEMBERS_KNOWN_AFTER;
+        self.knows_members |= has_received_all && self.members.any_counted();
         if self.knows_members {
             let (all, missed) = self.sent_member_counts;
             self.tally.set_quota_fraction(now, f64::from(all - missed.min(all)) / f64::from(all.max(1)));
@@ -614,10 +611,8 @@
             self.sent_member_counts = counts;
             self.sessions.send_all(&Update::Gatekeepers(counts.0, counts.1), out);
         }
-        let names = self.members.names();
-        if names != self.stored_members && now >= self.started_at + MEMBERS_KNOWN_AFTER {
-            out.push(Output::StoreGatekeepers(0, names.clone()));
-            self.stored_members = names;
+        if let Some((ticket, names)) = has_received_all.then(|| self.members.write()).flatten() {
+            out.push(Output::StoreGatekeepers(ticket, names));
         }
     }
 
--- a/crates/proxy/tests/restarts.rs
+++ b/crates/proxy/tests/restarts.rs
@@ -120,3 +120,31 @@
          103000 |    |    |      |      |    |    | lists m1 1",
     );
 }
+
+/// Guards against a member that was counted, and then forgotten when all markers ended at once: the others took
+/// the whole of each quota while that gatekeeper, cut off, went on with its part.
+#[gtest]
+fn a_gatekeeper_that_was_counted_is_still_counted_after_the_end_of_all_markers() {
+    let mut simulation = Simulation::new(3, 4);
+    (0..6).for_each(|n| simulation.act(n, "up"));
+    simulation.run(6_000);
+    let members = |simulation: &Simulation, g: usize| {
+        let gate: &granitelead_proxy::gate::Gate = simulation.gatekeepers[g].gate.as_ref().unwrap();
+        gate.control.gatekeepers()
+    };
+    assert_that!(members(&simulation, 0), some(eq((3, 0))));
+    simulation.act(6, "up");
+    while (0..4).all(|g| members(&simulation, g) != Some((4, 0))) {
+        let next = simulation.now + 1;
+        simulation.run(next);
+        assert!(next < 12_000, "the fourth gatekeeper is never counted");
+    }
+    (0..3).for_each(|n| simulation.act(n, "power"));
+    simulation.act(6, "cut");
+    (0..3).for_each(|n| simulation.act(n, "up"));
+    let until = simulation.now + 6_000;
+    simulation.run(until);
+    for g in 0..3 {
+        expect_that!(members(&simulation, g), some(eq((4, 1))), "g{}", g + 1);
+    }
+}
