Enforce the level that a tenant is left with when its counters begin anew

Cause: counters that begin anew do not include the last window, and the level that is computed from it was looked at only in the penalty period, which begins when the counters exceed the burst. Change: whoever begins with less than a full bucket refuses what the level does not cover for one quota window. Tests: a_burst_is_granted_once_whatever_restarts draws limits (bursts of 1 to 30 s of the rate), gatekeepers, load and what restarts, or a tenant that moves.

--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -69,6 +69,11 @@
         self.level = self.level.min(most);
     }
 
+    /// Refuses what the level of the quota's bucket doesn't cover until this time, as in the penalty period.
+    pub fn enforce_level(&mut self, until: Micros) {
+        self.penalty_until = self.penalty_until.max(until);
+    }
+
     /// Charges units that are used here, for callers without a shared counter.
     pub fn charge(&mut self, units: f64) {
         self.level -= units;
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -75,7 +75,15 @@
 impl Entry {
     /// Creates the entry of a tenant that is seen for the first time; `level` is what remains for all who
     /// share the bucket.
-    fn new(name: &str, full_plan: Plan, part: f64, gatekeepers: f64, level: f64, now: Millis) -> Entry {
+    fn new(
+        name: &str,
+        full_plan: Plan,
+        part: f64,
+        gatekeepers: f64,
+        level: f64,
+        now: Millis,
+        window: Millis,
+    ) -> Entry {
         let mut entry = Entry {
             customer: Customer::default(),
             plan: full_plan,
@@ -90,16 +98,20 @@
             admitted: 0,
             refused: 0,
         };
-        entry.reset(name, part, gatekeepers, level, now);
+        entry.reset(name, part, gatekeepers, level, now, window);
         entry
     }
 
-    /// Resets the counters to another share of the quota and to what remains of it.
-    fn reset(&mut self, name: &str, part: f64, gatekeepers: f64, level: f64, now: Millis) {
+    /// Resets the counters to another share of the quota and to what remains of it. The counters don't include
+    /// what was used in the last window, so the level is enforced for `window` ms, unless the bucket is full.
+    fn reset(&mut self, name: &str, part: f64, gatekeepers: f64, level: f64, now: Millis, window: Millis) {
         let (open, plan) = (self.customer.open, scaled(&self.plan, part));
         self.customer = Customer::new(&plan, &CustomerId(name.to_owned()), 1.0, micros(now), micros(now));
         self.customer.open = open;
         self.customer.cap_level(level);
+        if level < BUCKET_FRACTION * plan.burst {
+            self.customer.enforce_level(micros(now + window));
+        }
         (self.recent_requests, self.awaits_first_update, self.allowance_at) = ((0.0, 0.0), true, now);
         self.allowance = level.max(0.0) * self.share(gatekeepers);
     }
@@ -260,7 +272,7 @@
             let carried = entry.customer.remaining() * part / before;
             // A history of a whole window includes the debt.
             let level = if is_known { level } else { level.min(carried) };
-            entry.reset(&name, part, n, level, now);
+            entry.reset(&name, part, n, level, now, self.window);
         }
     }
 
@@ -330,7 +342,7 @@
                 return Some(RETRY_DELAY_MAX);
             }
             let level = self.capped_level(now, &tenant.name, &plan);
-            let entry = Entry::new(&tenant.name, full_plan.clone(), part, n, level, now);
+            let entry = Entry::new(&tenant.name, full_plan.clone(), part, n, level, now, self.window);
             self.table.insert(tenant.name.clone(), entry);
         }
         let entry = self.table.get_mut(&tenant.name)?;
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -151,6 +151,11 @@
     events: BTreeMap<(u64, u64), Event>,
     next: u64,
     pub load: f64,
+    /// The only gatekeeper that is sent requests; all of them if none.
+    pub load_only: Option<usize>,
+    /// The tenant's limits.
+    pub rate: f64,
+    pub burst: f64,
     pub admitted: Vec<u64>,
     /// The gatekeeper that admitted each of them.
     pub admitted_by: Vec<usize>,
@@ -257,6 +262,9 @@
             events: BTreeMap::new(),
             next: 0,
             load: 0.0,
+            load_only: None,
+            rate: RATE,
+            burst: RATE,
             admitted: Vec::new(),
             admitted_by: Vec::new(),
             refused: 0,
@@ -636,7 +644,7 @@
         let node = &mut self.gatekeepers[g];
         let Some(gate) = node.gate.as_mut() else { return };
         node.due_requests += self.load * 0.005;
-        let tenant = Tenant { name: "t".into(), priority: None, rate: RATE, burst: RATE };
+        let tenant = Tenant { name: "t".into(), priority: None, rate: self.rate, burst: self.burst };
         while node.due_requests >= 1.0 {
             node.due_requests -= 1.0;
             if self.needs_configuration && gate.configuration.is_none() {
@@ -740,7 +748,10 @@
                 if self.now % 50 == g as u64 % 50 {
                     self.tick(g);
                 }
-                if self.load > 0.0 && self.now.is_multiple_of(5) {
+                if self.load > 0.0
+                    && self.now.is_multiple_of(5)
+                    && self.load_only.is_none_or(|only| only == g)
+                {
                     self.requests(g);
                 }
             }
--- a/crates/proxy/tests/quota.rs
+++ b/crates/proxy/tests/quota.rs
@@ -252,6 +252,127 @@
     assert!(max <= ALLOWED, "{max} are admitted, {ALLOWED} are permitted");
 }
 
+/// A tenant that exceeds its quota while processes restart: its limits, the gatekeepers, and what restarts.
+#[derive(Clone, Copy, Debug)]
+struct RestartCase {
+    rate: f64,
+    burst: f64,
+    gatekeepers: usize,
+    /// The tenant's load, as a multiple of its rate.
+    load_factor: f64,
+    restart: Restart,
+    /// Whether the processes end so that their peers notice.
+    is_noticed: bool,
+    /// From the start of the load to the end of the processes, ms, and how long they are down.
+    after: u64,
+    down: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Restart {
+    /// Nothing restarts; the tenant moves from one gatekeeper to the next.
+    Nothing,
+    OneGatekeeper,
+    AllGatekeepers,
+    OneMarker,
+    /// All markers, and the gatekeepers on their machines.
+    Core,
+    All,
+}
+
+impl RestartCase {
+    fn random(seed: u64) -> RestartCase {
+        use Restart::{All, AllGatekeepers, Core, Nothing, OneGatekeeper, OneMarker};
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let rate = [5.0, 10.0, 40.0, 100.0, 400.0][rng.usize(..5)];
+        RestartCase {
+            rate,
+            burst: rate * [1.0, 2.0, 4.0, 8.0, 12.5, 16.0, 30.0][rng.usize(..7)],
+            gatekeepers: [3, 7, 13][rng.usize(..3)],
+            load_factor: [3.0, 8.0, 15.0][rng.usize(..3)],
+            restart: [Nothing, OneGatekeeper, AllGatekeepers, OneMarker, Core, All][rng.usize(..6)],
+            is_noticed: rng.bool(),
+            after: rng.u64(200..8_000),
+            down: rng.u64(200..1_000),
+        }
+    }
+
+    /// Requests that the rule permits in the window of five seconds.
+    fn allowed(&self) -> usize {
+        ((self.rate * 5.0 + self.burst) * 1.1 + 20.0) as usize
+    }
+
+    /// The processes that restart: markers, then gatekeepers.
+    fn restarting(&self) -> Vec<usize> {
+        let all = MARKERS + self.gatekeepers;
+        match self.restart {
+            Restart::Nothing => Vec::new(),
+            Restart::OneGatekeeper => vec![MARKERS],
+            Restart::AllGatekeepers => (MARKERS..all).collect(),
+            Restart::OneMarker => vec![0],
+            Restart::Core => (0..2 * MARKERS).collect(),
+            Restart::All => (0..all).collect(),
+        }
+    }
+
+    /// Plays the case. `usual` is the load before the tenant exceeds its quota, as a multiple of its rate.
+    fn play(&self, seed: u64, usual: f64) -> Simulation {
+        let mut simulation = Simulation::with_seed(MARKERS, self.gatekeepers, seed);
+        (simulation.counts_bytes, simulation.needs_configuration) = (false, true);
+        (simulation.rate, simulation.burst) = (self.rate, self.burst);
+        (0..MARKERS + self.gatekeepers).for_each(|n| simulation.act(n, "up"));
+        simulation.run(1_000);
+        simulation.execute(&["put", "1"]);
+        simulation.load = usual * self.rate / self.gatekeepers as f64;
+        simulation.run(START);
+        simulation.load = self.load_factor * self.rate / self.gatekeepers as f64;
+        let end = START + self.after;
+        if self.restart == Restart::Nothing {
+            simulation.load *= self.gatekeepers as f64;
+            for g in 0..self.gatekeepers {
+                simulation.load_only = Some(g);
+                let until = simulation.now + self.after.min(2_000);
+                simulation.run(until);
+            }
+        }
+        simulation.run(end.max(simulation.now));
+        let way = if self.is_noticed { "kill" } else { "power" };
+        self.restarting().into_iter().for_each(|n| simulation.act(n, way));
+        let until = simulation.now + self.down;
+        simulation.run(until);
+        self.restarting().into_iter().for_each(|n| simulation.act(n, "up"));
+        let until = simulation.now + 8_000;
+        simulation.run(until);
+        simulation
+    }
+}
+
+/// Guards against a burst that is granted once more after a restart, or at each gatekeeper that a tenant moves to.
+#[test]
+fn a_burst_is_granted_once_whatever_restarts() {
+    let seeds = seeds();
+    let mut failed = Vec::new();
+    for seed in seeds.clone() {
+        let case = RestartCase::random(seed);
+        let simulation = case.play(seed, 0.0);
+        let max = simulation.max_in_window();
+        if seeds.end - seeds.start == 1 {
+            println!("{case:?}: {max} of {}", case.allowed());
+            for at in (START..simulation.now).step_by(250) {
+                let count = |g: usize| {
+                    let by = simulation.admitted.iter().zip(&simulation.admitted_by);
+                    by.filter(|(now, by)| (at..at + 250).contains(*now) && **by == g).count()
+                };
+                println!("{at:6} {:?}", (0..case.gatekeepers).map(count).collect::<Vec<_>>());
+            }
+        }
+        if max > case.allowed() {
+            failed.push(format!("seed {seed}: {max} of {}, {case:?}", case.allowed()));
+        }
+    }
+    assert!(failed.is_empty(), "{} of {seeds:?} over the limit:\n{}", failed.len(), failed.join("\n"));
+}
+
 /// A single gatekeeper that is in sync.
 fn single_gatekeeper() -> Tenants {
     let mut tenants = Tenants::new(5, 5_000);
