Keep the number of gatekeepers for a while when they end

Cause: processes whose end is noticed are no longer counted, so the first that came back was told that it was the only one, and the same held at each marker, until their reports had gone round. Change: while none is missing, the number told is the largest of the last 5 s. It only says into how many shares what remains is divided; all of it still belongs to those in contact. Tests: the_number_stays_for_a_while_when_all_gatekeepers_end_together. One older expectation (a number of 1 at the moment at which a silent gatekeeper is forgotten) became two: the name is forgotten at that moment, the number follows after the 5 s.

--- a/crates/marker/src/members.rs
+++ b/crates/marker/src/members.rs
@@ -23,6 +23,9 @@
 const REMOVE_STORED_AFTER: Millis = 60_000;
 /// Once all markers have counted together for this long, all know the same gatekeepers.
 const AGREEMENT_DELAY: Millis = 1_500;
+/// For how long after gatekeepers have ended the quotas are still shared among as many: processes that restart
+/// together would each be told of few others at first.
+const SHRINK_DELAY: Millis = 5_000;
 /// Maximum number of gatekeepers.
 const MEMBERS_MAX: usize = 20_000;
 /// The attached marker of a gatekeeper that is attached to none.
@@ -61,6 +64,8 @@
     ended: BTreeMap<String, Millis>,
     /// Since when all markers have counted together; none while they do not.
     agreed_since: Option<Millis>,
+    /// The most gatekeepers that were counted of late, and when.
+    most_counted: (usize, Millis),
     /// The names that are on disk.
     durable: BTreeSet<String>,
     /// The ticket and the names of the last write.
@@ -170,7 +175,8 @@
 
     /// Advances to `now`. `all_together` says whether all markers count together, and `heard_at` when each
     /// marker that counts together with this one was last heard. Returns the quota divisor (the number of
-    /// gatekeepers, at least 1) and how many of them are missing.
+    /// gatekeepers, at least 1) and how many of them are missing. If none is missing, all quotas belong to the
+    /// gatekeepers in contact whatever their number, and those that have just ended are included.
     pub fn update(
         &mut self,
         now: Millis,
@@ -192,7 +198,12 @@
         self.members.retain(|_, member| now < member.remove_at);
         self.ended.retain(|_, at| now < *at + REMOVE_AFTER);
         let missed = self.counted().filter(|(_, member)| member.is_missing(now)).count();
-        ((self.counted().count() as u32).max(1), missed as u32)
+        let counted = self.counted().count();
+        if counted >= self.most_counted.0 || now >= self.most_counted.1 + SHRINK_DELAY {
+            self.most_counted = (counted, now);
+        }
+        let all = if missed > 0 { counted } else { self.most_counted.0 };
+        ((all as u32).max(1), missed as u32)
     }
 
     /// The missing gatekeepers, and for how long each has been missing, ms.
@@ -268,7 +279,9 @@
         expect_that!(together(&mut members, LATER + 1_100), eq((2, 1)));
         expect_that!(members.missing(LATER + 1_100), elements_are![eq(&("c".to_owned(), 1_100))]);
         expect_that!(together(&mut members, LATER + 599_900).0, eq(2));
-        expect_that!(together(&mut members, LATER + 600_000).0, eq(1));
+        together(&mut members, LATER + 600_000);
+        expect_that!(members.names(), eq(&names(&["a"])));
+        expect_that!(together(&mut members, LATER + 600_000 + SHRINK_DELAY).0, eq(1));
     }
 
     #[gtest]
@@ -293,6 +306,17 @@
         expect_that!(members.update(2_000, false, |_| None), eq((2, 2)));
     }
 
+    /// Guards against processes that restart together, of which each is told that it is the only one.
+    #[gtest]
+    fn the_number_stays_for_a_while_when_all_gatekeepers_end_together() {
+        let mut members = three();
+        ["a", "b", "c"].iter().for_each(|name| members.on_end(LATER, name, 0));
+        expect_that!(together(&mut members, LATER), eq((3, 0)));
+        members.on_report(LATER + 500, HERE, names(&["a"]), true);
+        expect_that!(together(&mut members, LATER + 500), eq((3, 0)));
+        expect_that!(together(&mut members, LATER + SHRINK_DELAY), eq((1, 0)));
+    }
+
     #[gtest]
     fn a_gatekeeper_is_counted_once_its_name_is_on_disk() {
         let mut members = three();
