Leave the others their share of what they have admitted unseen

What callers saw: at a hot start, and after a restart, all gatekeepers together admitted several times what was left of a quota (1,050 of 400 in a quarter of a second at 15 times the rate), then nothing for a second or two.

Cause: the allowance was renewed from what remained at each total, every 50 ms, while requests of the others are known only after up to 250 ms; and a gatekeeper's part grew with its own requests at once, with the others' only once they were reported. Change: the allowance is a gatekeeper's share of what remained before its unreported requests, less these; its part is computed from reported requests on both sides.

--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -43,6 +43,9 @@
 const UNREPORTED_S: f64 = 1.0;
 /// Minimum burst: seconds of the rate, and requests.
 const BURST_MIN: (f64, f64) = (0.2, 1.0);
+/// Slots of the requests that may not be reported yet, and the length of one, ms. Together they span the time
+/// until the others know of a request: its report, the exchange between markers, and the next totals.
+const UNREPORTED_SLOTS: (usize, Millis) = (5, 50);
 /// Time constant, ms, of the decaying counts that determine each gatekeeper's share.
 const DECAY_MS: f64 = 2_000.0;
 /// Retry delay if the allowance is used up: it is renewed with the next report of the others' usage.
@@ -50,6 +53,36 @@
 /// Maximum retry delay.
 const RETRY_DELAY_MAX: Millis = 2_000;
 
+/// Requests admitted here that the others may not know of yet. What they have admitted meanwhile is unknown
+/// here for as long.
+#[derive(Default)]
+struct Unreported {
+    newest: Millis,
+    slots: [u32; UNREPORTED_SLOTS.0],
+}
+
+impl Unreported {
+    /// Advances to `now`. Returns the number of requests that are reported by now.
+    fn advance(&mut self, now: Millis) -> u32 {
+        let (slot, length) = (now / UNREPORTED_SLOTS.1, self.slots.len());
+        let passed = slot.saturating_sub(self.newest).min(length as Millis) as usize;
+        self.newest = self.newest.max(slot);
+        let reported = self.slots[length - passed..].iter().sum();
+        self.slots.rotate_right(passed);
+        self.slots[..passed].fill(0);
+        reported
+    }
+
+    /// Counts a request admitted in the newest slot.
+    fn count(&mut self) {
+        self.slots[0] = self.slots[0].saturating_add(1);
+    }
+
+    fn sum(&self) -> f64 {
+        f64::from(self.slots.iter().sum::<u32>())
+    }
+}
+
 struct Entry {
     customer: Customer,
     plan: Plan,
@@ -65,8 +98,9 @@
     updated_at: Millis,
     /// Whether the first update of the others' usage since the last reset is still to come.
     awaits_first_update: bool,
-    /// Requests admitted here and by the others, exponentially decayed.
+    /// Requests admitted here and by the others, as far as they are reported, exponentially decayed.
     recent_requests: (f64, f64),
+    unreported: Unreported,
     /// Requests that this process admitted and refused.
     admitted: u64,
     refused: u64,
@@ -95,6 +129,7 @@
             updated_at: now,
             awaits_first_update: true,
             recent_requests: (0.0, 0.0),
+            unreported: Unreported::default(),
             admitted: 0,
             refused: 0,
         };
@@ -113,7 +148,16 @@
             self.customer.enforce_level(micros(now + window));
         }
         (self.recent_requests, self.awaits_first_update, self.allowance_at) = ((0.0, 0.0), true, now);
-        self.allowance = level.max(0.0) * self.share(gatekeepers);
+        self.unreported.advance(now);
+        self.renew_allowance(gatekeepers);
+    }
+
+    /// Computes the allowance from what remains. Of what remained before the unreported requests this
+    /// gatekeeper may take its share; the others take theirs at the same time, unseen.
+    fn renew_allowance(&mut self, gatekeepers: f64) {
+        let unreported = self.unreported.sum();
+        let before = (self.customer.remaining() + unreported).max(0.0);
+        self.allowance = (before * self.share(gatekeepers) - unreported).max(0.0);
     }
 
     /// Takes in the limits of another configuration.
@@ -364,7 +408,8 @@
             entry.customer.charge(1.0);
             entry.allowance -= 1.0;
             entry.admitted_since_update += 1;
-            entry.recent_requests.0 += 1.0;
+            entry.recent_requests.0 += f64::from(entry.unreported.advance(now));
+            entry.unreported.count();
             if self.in_sync {
                 self.recent.add(now, &tenant.name, 1);
             }
@@ -390,9 +435,10 @@
                 entry.customer.cap_level(left - others);
             }
             let keeps = (-(now.saturating_sub(entry.updated_at) as f64) / DECAY_MS).exp();
+            let reported = f64::from(entry.unreported.advance(now));
             entry.recent_requests =
-                (entry.recent_requests.0 * keeps, entry.recent_requests.1 * keeps + others);
-            entry.allowance = entry.customer.remaining().max(0.0) * entry.share(n);
+                (entry.recent_requests.0 * keeps + reported, entry.recent_requests.1 * keeps + others);
+            entry.renew_allowance(n);
             (entry.allowance_at, entry.updated_at, entry.admitted_since_update) = (now, now, 0);
         }
     }
