Split the marker's state machine by what it decides

state.rs had 800 lines; spreading changes of servers, the quorum, the reaper's duty, the membership and the status report are modules of their own, and a tick's two longer parts are functions. Nothing but places and visibility changes.

--- a/crates/marker/src/state.rs
+++ b/crates/marker/src/state.rs
@@ -1,12 +1,18 @@
 //! A marker as a state machine without I/O: calls, messages and ticks are its input; messages to send, writes
 //! and responses are its output.
 
+mod expiry;
+mod membership;
+mod quorum;
+mod server_changes;
+mod status;
+
 use crate::core::{Core, CoreStatus};
 use crate::members::Members;
-use crate::registry::{self, Merged, Registry};
+use crate::registry::{self, Registry};
 use crate::repair::Repair;
 use crate::server_log::ServerLog;
-use crate::sessions::{FinishedWait, Sessions, Waiter};
+use crate::sessions::Sessions;
 use crate::tally::Tally;
 use crate::types::{Millis, Output, Reply, SessionId, Written};
 use granitelead_common::configuration;
@@ -23,18 +29,9 @@
 const ALIVE_INTERVAL: Millis = 700;
 /// How often markers send each other their sessions where these have changed.
 const SESSIONS_INTERVAL: Millis = 125;
-/// How often they do so where nothing has changed.
-const SESSIONS_REFRESH_INTERVAL: Millis = 1_000;
 /// How often markers send each other the usage of their gatekeepers. It is longer than the interval of totals
 /// to limit the traffic between zones.
 const USAGE_INTERVAL: Millis = 125;
-/// This long after its start a marker has received the sessions of all others. Only then, or if it has read
-/// the gatekeepers from its disk, does it send how many there are.
-const MEMBERS_KNOWN_AFTER: Millis = 1_200;
-/// How often markers that have not answered a catch-up request are sent it again.
-const CATCH_UP_RETRY_INTERVAL: Millis = 300;
-/// How often the reaper asks again for confirmation that servers have timed out.
-const REAP_RETRY_INTERVAL: Millis = 600;
 
 /// What is known of another marker.
 #[derive(Default)]
@@ -45,14 +42,6 @@
     zone: String,
 }
 
-/// A request for the changes missed without a quorum, under a number, and the committed versions of the
-/// markers that have answered.
-struct CatchUpRequest {
-    number: u64,
-    at: Millis,
-    answers: BTreeMap<Ipv4Addr, Option<u32>>,
-}
-
 /// Servers to be removed once a majority of the core has accepted the reaper's proposal number and confirms
 /// that their heartbeats have stopped there too.
 struct ReapRequest {
@@ -62,6 +51,14 @@
     confirmed_by: BTreeSet<Ipv4Addr>,
 }
 
+/// A request for the changes missed without a quorum, under a number, and the committed versions of the
+/// markers that have answered.
+struct CatchUpRequest {
+    number: u64,
+    at: Millis,
+    answers: BTreeMap<Ipv4Addr, Option<u32>>,
+}
+
 /// One marker.
 pub struct Marker {
     core: Core,
@@ -225,122 +222,6 @@
         self.finish_step(now, out);
     }
 
-    /// Sends changes of servers to all gatekeepers and markers. A server that leaves is answered once all
-    /// have acknowledged it and a majority of the core has it on disk, so that no restart forgets it. Its
-    /// leaving is forwarded again with each of its calls, as earlier acknowledgements are not stored. Without a quorum the change is applied and forwarded but not
-    /// acknowledged: the server then calls another marker, which may reach the others.
-    fn broadcast_change(
-        &mut self,
-        now: Millis,
-        id: u64,
-        leaves: Option<Instance>,
-        changed: Vec<Instance>,
-        reply: Reply,
-        out: &mut Vec<Output>,
-    ) {
-        if !changed.is_empty() {
-            self.send_servers(changed.clone(), out);
-        }
-        let ticket = if !self.in_quorum {
-            out.push(Output::Answer(id, Reply::failure(ErrorKind::Uncertain, "this marker has no quorum")));
-            0
-        } else if leaves.is_some() {
-            let (live, write) = (self.core.live_markers(), self.server_log.write(now, out));
-            self.sessions.start_wait(now, Waiter::Call(id), &live, write)
-        } else {
-            out.push(Output::Answer(id, reply));
-            0
-        };
-        let changes = match leaves {
-            Some(leaves) if !changed.contains(&leaves) => changed.into_iter().chain([leaves]).collect(),
-            _ => changed,
-        };
-        self.forward_to_markers(now, changes, ticket, None, out);
-    }
-
-    /// Forwards changes of servers to the other markers. Servers that are gone are recorded for markers that
-    /// can't be reached now.
-    fn forward_to_markers(
-        &mut self,
-        now: Millis,
-        changed: Vec<Instance>,
-        ticket: u64,
-        except: Option<Ipv4Addr>,
-        out: &mut Vec<Output>,
-    ) {
-        if changed.is_empty() {
-            return;
-        }
-        let ended: Vec<Instance> =
-            changed.iter().filter(|i| i.state == InstanceState::Gone).cloned().collect();
-        let ticket = if ticket == 0 && !ended.is_empty() { self.sessions.next_ticket() } else { ticket };
-        for ip in self.core.known_markers().into_iter().filter(|ip| Some(*ip) != except) {
-            self.repair.record_ends(now, ip, &ended, ticket);
-            out.push(Output::SendToMarker(ip, PeerMessage::Servers(ticket, changed.clone())));
-        }
-    }
-
-    /// Sends a marker the next batch of the changes that it missed.
-    fn send_missed_batch(&mut self, ip: Ipv4Addr, out: &mut Vec<Output>) {
-        let ticket = self.sessions.next_ticket();
-        let part = self.repair.next_batch(ip, ticket);
-        if !part.is_empty() {
-            out.push(Output::SendToMarker(ip, PeerMessage::Servers(ticket, part)));
-        }
-    }
-
-    /// Merges servers sent by another process and sends the changes to gatekeepers. Returns the changes, and
-    /// the servers that are gone without the sender knowing it.
-    fn merge_servers(
-        &mut self,
-        now: Millis,
-        servers: Vec<Instance>,
-        out: &mut Vec<Output>,
-    ) -> (Vec<Instance>, Vec<Instance>) {
-        let (mut changed, mut ended) = (Vec::new(), Vec::new());
-        for server in servers {
-            match self.registry.merge(now, server) {
-                Merged::Changed(updates) => changed.extend(updates),
-                Merged::Ended(end) => ended.push(end),
-            }
-        }
-        if !changed.is_empty() {
-            self.send_servers(changed.clone(), out);
-        }
-        (changed, ended)
-    }
-
-    /// Merges servers sent by another marker, and acknowledges once all gatekeepers with a session here have
-    /// confirmed and the changes are on disk.
-    fn on_peer_servers(
-        &mut self,
-        now: Millis,
-        from: Ipv4Addr,
-        ticket: u64,
-        servers: Vec<Instance>,
-        out: &mut Vec<Output>,
-    ) {
-        let (mut changed, ended) = self.merge_servers(now, servers, out);
-        // Servers that leave are forwarded once more: the sender may not reach all markers that are reachable
-        // from here.
-        changed.retain(|server| server.state != InstanceState::Ready);
-        self.forward_to_markers(now, changed, 0, Some(from), out);
-        if !ended.is_empty() {
-            let ticket = self.sessions.next_ticket();
-            self.repair.record_ends(now, from, &ended, ticket);
-            out.push(Output::SendToMarker(from, PeerMessage::Servers(ticket, ended)));
-        }
-        if ticket > 0 {
-            let write = self.server_log.write(now, out);
-            self.sessions.start_wait(now, Waiter::Marker(from, ticket), &[], write);
-        }
-    }
-
-    fn send_servers(&mut self, changed: Vec<Instance>, out: &mut Vec<Output>) {
-        self.server_log.record(&changed);
-        self.sessions.send_all(&Update::Servers(changed), out);
-    }
-
     /// Handles a message of another marker.
     pub fn on_peer_message(&mut self, now: Millis, from: Node, message: PeerMessage, out: &mut Vec<Output>) {
         self.peers.entry(from.ip).or_default().last_message_at = now;
@@ -485,16 +366,6 @@
         self.finish_step(now, out);
     }
 
-    /// Handles the shutdown of a gatekeeper, whose share of each quota passes to the others.
-    fn on_gatekeeper_leaving(&mut self, now: Millis, session: SessionId, out: &mut Vec<Output>) {
-        let Some(name) = self.sessions.name(session) else { return };
-        self.tally.detach(session);
-        self.members.on_end(now, &name, 0);
-        for ip in self.core.known_markers() {
-            out.push(Output::SendToMarker(ip, PeerMessage::GatekeeperLeft(name.clone())));
-        }
-    }
-
     /// Handles the end of a session; `closed` is whether its peer closed it. A gatekeeper that keeps running
     /// detaches first, so one that closes while attached has ended. A broken or silent connection does not
     /// show that its gatekeeper has ended.
@@ -535,6 +406,33 @@
         self.core.sole_copy_version()
     }
 
+    /// Sends the usage reported here to the other markers where that is due, and totals to the gatekeepers.
+    fn send_usage(&mut self, now: Millis, peers: &[Ipv4Addr], out: &mut Vec<Output>) {
+        let due = now >= self.usage_at + USAGE_INTERVAL;
+        let batch = if due { self.tally.take_batch() } else { Vec::new() };
+        if !batch.is_empty() {
+            self.usage_at = now;
+            out.extend(peers.iter().map(|ip| Output::SendToMarker(*ip, PeerMessage::Usage(batch.clone()))));
+        }
+        for (id, recent) in self.tally.take_recent_use(now) {
+            out.push(Output::SendToGatekeeper(id, ToGatekeeper::Recent(recent)));
+        }
+        let updates = self.tally.take_updates(now).into_iter();
+        out.extend(
+            updates.map(|(id, number, totals)| {
+                Output::SendToGatekeeper(id, ToGatekeeper::Totals(number, totals))
+            }),
+        );
+    }
+
+    /// Sends the other markers which servers sent heartbeats here.
+    fn send_alive(&mut self, peers: &[Ipv4Addr], out: &mut Vec<Output>) {
+        let alive = self.registry.take_local_heartbeats();
+        if !alive.is_empty() {
+            out.extend(peers.iter().map(|ip| Output::SendToMarker(*ip, PeerMessage::Alive(alive.clone()))));
+        }
+    }
+
     /// Does the periodic work that is due.
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.core.on_tick(now, out);
@@ -545,30 +443,11 @@
         let peers: Vec<Ipv4Addr> = self.core.live_markers();
         if now >= self.totals_at + TOTALS_INTERVAL {
             self.totals_at = now;
-            let due = now >= self.usage_at + USAGE_INTERVAL;
-            let batch = if due { self.tally.take_batch() } else { Vec::new() };
-            if !batch.is_empty() {
-                self.usage_at = now;
-                out.extend(
-                    peers.iter().map(|ip| Output::SendToMarker(*ip, PeerMessage::Usage(batch.clone()))),
-                );
-            }
-            for (id, recent) in self.tally.take_recent_use(now) {
-                out.push(Output::SendToGatekeeper(id, ToGatekeeper::Recent(recent)));
-            }
-            let updates = self.tally.take_updates(now).into_iter();
-            out.extend(updates.map(|(id, number, totals)| {
-                Output::SendToGatekeeper(id, ToGatekeeper::Totals(number, totals))
-            }));
+            self.send_usage(now, &peers, out);
         }
         if now >= self.alive_at + ALIVE_INTERVAL {
             self.alive_at = now;
-            let alive = self.registry.take_local_heartbeats();
-            if !alive.is_empty() {
-                out.extend(
-                    peers.iter().map(|ip| Output::SendToMarker(*ip, PeerMessage::Alive(alive.clone()))),
-                );
-            }
+            self.send_alive(&peers, out);
         }
         if now >= self.sessions_at + SESSIONS_INTERVAL {
             self.sessions_at = now;
@@ -584,116 +463,6 @@
         self.finish_step(now, out);
     }
 
-    /// Sends the other markers the gatekeepers attached here, and gatekeepers their number where it has
-    /// changed.
-    fn update_members(&mut self, now: Millis, peers: &[Ipv4Addr], out: &mut Vec<Output>) {
-        let here = self.sessions.names(now, &self.tally.incarnations());
-        self.members.on_report(now, self.core.me().ip, here.clone(), true);
-        if here != self.sent_attached || now >= self.sessions_refreshed_at + SESSIONS_REFRESH_INTERVAL {
-            (self.sent_attached, self.sessions_refreshed_at) = (here.clone(), now);
-            let (missed, ended) = (self.members.missing(now), self.members.ended(now));
-            let message = PeerMessage::Sessions { zone: self.zone.clone(), names: here, missed, ended };
-            out.extend(peers.iter().map(|ip| Output::SendToMarker(*ip, message.clone())));
-        }
-        self.counts_with = self.core.quota_group();
-        let all_together = self.core.quota_group_is_complete(&self.counts_with);
-        let (counted, peers_by_ip) = (&self.counts_with, &self.peers);
-        let counts = self.members.update(now, all_together, |ip| {
-            peers_by_ip.get(&ip).filter(|_| counted.contains(&ip)).map(|peer| peer.last_message_at)
-        });
-        let has_received_all = now >= self.started_at + MEMBERS_KNOWN_AFTER;
-        self.knows_members |= has_received_all && self.members.any_counted();
-        if self.knows_members {
-            let (all, missed) = self.sent_member_counts;
-            self.tally.set_quota_fraction(now, f64::from(all - missed.min(all)) / f64::from(all.max(1)));
-        }
-        if counts != self.sent_member_counts && self.knows_members {
-            self.sent_member_counts = counts;
-            self.sessions.send_all(&Update::Gatekeepers(counts.0, counts.1), out);
-        }
-        if let Some((ticket, names)) = has_received_all.then(|| self.members.write()).flatten() {
-            out.push(Output::StoreGatekeepers(ticket, names));
-        }
-    }
-
-    /// Starts removing servers whose heartbeats have stopped, if this marker holds the duty of the reaper.
-    fn reap(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let Some(number) = self.core.holds(Duty::Reaper).filter(|_| self.in_quorum) else {
-            self.reap = None;
-            return;
-        };
-        let waits = self.reap.as_ref().is_some_and(|reap| now < reap.at + REAP_RETRY_INTERVAL);
-        let silent = if waits { Vec::new() } else { self.registry.timed_out(now) };
-        if silent.is_empty() {
-            return;
-        }
-        let ticket = self.sessions.next_ticket();
-        for ip in self.core.known_markers() {
-            out.push(Output::SendToMarker(ip, PeerMessage::ConfirmExpired(number, ticket, silent.clone())));
-        }
-        self.reap = Some(ReapRequest { ticket, at: now, silent, confirmed_by: BTreeSet::new() });
-        self.on_reaped(now, self.core.me().ip, ticket, out);
-    }
-
-    /// Handles the confirmation of a marker that the servers have timed out there too. They are removed once
-    /// a majority of the core has confirmed, so that a marker that was cut off, or misses the messages of one
-    /// other, removes no server whose heartbeats the majority receives.
-    fn on_reaped(&mut self, now: Millis, from: Ipv4Addr, ticket: u64, out: &mut Vec<Output>) {
-        let Some(reap) = self.reap.as_mut().filter(|reap| reap.ticket == ticket) else { return };
-        reap.confirmed_by.insert(from);
-        if !self.core.majority_of_core(|ip| reap.confirmed_by.contains(&ip)) {
-            return;
-        }
-        let Some(ReapRequest { silent, .. }) = self.reap.take() else { return };
-        let ended = self.registry.end_timed_out(now, silent);
-        if !ended.is_empty() {
-            self.send_servers(ended.clone(), out);
-            self.forward_to_markers(now, ended, 0, None, out);
-        }
-    }
-
-    /// Reports the loss of the quorum when no majority is reachable in both directions. Reports the quorum
-    /// again once a majority has answered a catch-up request made since then and the newest version named in
-    /// the answers is committed here. Answers are matched by the number of the request, not by time.
-    fn update_quorum_state(&mut self, now: Millis, out: &mut Vec<Output>) {
-        if !self.core.has_quorum() {
-            self.catch_up = None;
-            if std::mem::take(&mut self.in_quorum) {
-                self.announce_quorum_state(now, out);
-            }
-            return;
-        }
-        if self.in_quorum {
-            return;
-        }
-        if self.catch_up.is_none() {
-            self.last_catch_up_number += 1;
-            self.catch_up =
-                Some(CatchUpRequest { number: self.last_catch_up_number, at: 0, answers: BTreeMap::new() });
-        }
-        let (live, committed) = (self.core.live_markers(), self.core.committed().map(|d| d.version));
-        let Some(catch_up) = self.catch_up.as_mut() else { return };
-        if now >= catch_up.at + CATCH_UP_RETRY_INTERVAL || catch_up.at == 0 {
-            catch_up.at = now;
-            for ip in live.into_iter().filter(|ip| !catch_up.answers.contains_key(ip)) {
-                out.push(Output::SendToMarker(ip, PeerMessage::CatchUp(catch_up.number)));
-            }
-        }
-        let answered = self.core.majority_of_core(|ip| catch_up.answers.contains_key(&ip));
-        if answered && catch_up.answers.values().all(|theirs| *theirs <= committed) {
-            (self.in_quorum, self.catch_up) = (true, None);
-            self.announce_quorum_state(now, out);
-        }
-    }
-
-    /// Logs a change of the quorum state and sends it to all gatekeepers.
-    fn announce_quorum_state(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let since = now - self.quorum_changed_at;
-        log::info!("quorum {} after {since} ms", if self.in_quorum { "regained" } else { "lost" });
-        self.quorum_changed_at = now;
-        self.sessions.send_all(&Update::Contact(self.in_quorum), out);
-    }
-
     /// A reachable marker of a zone, if the zone is not this marker's own.
     fn marker_in_zone(&self, zone: &str) -> Option<Ipv4Addr> {
         let live = self.core.live_markers();
@@ -728,75 +497,4 @@
             self.finish_wait(wait, out);
         }
     }
-
-    /// Answers the server or the marker that waits until a change is known and stored.
-    fn finish_wait(&self, wait: FinishedWait, out: &mut Vec<Output>) {
-        let FinishedWait { waiter, confirmed_by, is_durable } = wait;
-        let id = match waiter {
-            Waiter::Marker(ip, ticket) => {
-                return out.push(Output::SendToMarker(ip, PeerMessage::Delivered(ticket)));
-            }
-            Waiter::Call(id) => id,
-        };
-        // A gatekeeper in sync has a session with a marker of any majority, or receives all servers when it
-        // opens one. A quorum after a restart includes a marker of any majority.
-        let is_stored = self.core.is_stored_by_majority(is_durable, |ip| confirmed_by.contains(&ip));
-        let reply = if self.in_quorum && is_stored {
-            Reply::done()
-        } else {
-            Reply::failure(
-                ErrorKind::Uncertain,
-                "a majority of markers has not confirmed that all gatekeepers have the change and that it is on disk",
-            )
-        };
-        out.push(Output::Answer(id, reply));
-    }
-
-    fn status(&self, now: Millis) -> String {
-        let view = self.core.view();
-        let ip = |node: &Node| node.ip.to_string();
-        let epoch = view.epoch.as_ref().map(|e| {
-            serde_json::json!({
-                "round": e.number.round,
-                "core": e.core.iter().map(ip).collect::<Vec<_>>(),
-                "primary": e.primary.as_ref().map(ip),
-                "backups": e.backups.iter().map(ip).collect::<Vec<_>>(),
-            })
-        });
-        let duties = view.duties.iter().map(|(duty, holder)| {
-            let holder =
-                holder.map(|(node, number)| serde_json::json!({"holder": ip(&node), "number": number.round}));
-            (format!("{duty:?}").to_lowercase(), holder.unwrap_or_default())
-        });
-        let duties: serde_json::Map<String, serde_json::Value> = duties.collect();
-        let (kept, handed, dropped) = self.repair.counters();
-        let (have, of) = view.committed.map_or((0, 0), |version| self.sessions.count_in_force(version));
-        serde_json::json!({
-            "marker": self.me().ip.to_string(),
-            "leads": view.is_primary,
-            "contact": self.in_quorum,
-            "contact-for-ms": now - self.quorum_changed_at,
-            "epoch": epoch,
-            "version": view.committed.map(|v| format!("{v:08x}")),
-            "numbers-held": view.versions.0,
-            "numbers-forgotten": view.versions.1.map(|v| format!("{v:08x}")),
-            "orders-refused": view.refused,
-            "sessions": of,
-            "sessions-with-version": have,
-            "gatekeepers": self.members.names(),
-            "markers": self.markers().iter().map(ToString::to_string).collect::<Vec<_>>(),
-            "servers": self.registry.live().len(),
-            "duties": duties,
-            "ends-kept": kept,
-            "ends-handed-over": handed,
-            "ends-dropped": dropped,
-            "core-needed": view.needed.0,
-            "copies-needed": view.needed.1,
-            "too-few": view.shortages,
-            "leaves": view.shutting_down,
-            "rounds-begun": view.rounds.0,
-            "rounds-won": view.rounds.1,
-        })
-        .to_string()
-    }
 }
