Let a gatekeeper take a little more than its share of what is unseen

Change: a gatekeeper may take 1 / 0.6 of its share before the others know of it, so that all together admit one burst at most unseen.

--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -46,6 +46,9 @@
 /// Slots of the requests that may not be reported yet, and the length of one, ms. Together they span the time
 /// until the others know of a request: its report, the exchange between markers, and the next totals.
 const UNREPORTED_SLOTS: (usize, Millis) = (5, 50);
+/// How much more than its share of a bucket a gatekeeper may take before the others know of it, as most often some
+/// of them take less. If all do, they take one burst together.
+const SHARE_OVERCOMMIT: f64 = 1.0 / BUCKET_FRACTION;
 /// Time constant, ms, of the decaying counts that determine each gatekeeper's share.
 const DECAY_MS: f64 = 2_000.0;
 /// Retry delay if the allowance is used up: it is renewed with the next report of the others' usage.
@@ -153,11 +156,12 @@
     }
 
     /// Computes the allowance from what remains. Of what remained before the unreported requests this
-    /// gatekeeper may take its share; the others take theirs at the same time, unseen.
+    /// gatekeeper may take its share and a little more; the others take theirs at the same time, unseen.
     fn renew_allowance(&mut self, gatekeepers: f64) {
         let unreported = self.unreported.sum();
         let before = (self.customer.remaining() + unreported).max(0.0);
-        self.allowance = (before * self.share(gatekeepers) - unreported).max(0.0);
+        let share = (self.share(gatekeepers) * SHARE_OVERCOMMIT).min(1.0);
+        self.allowance = (before * share - unreported).max(0.0);
     }
 
     /// Takes in the limits of another configuration.
