--- a/crates/marker/tests/store.rs
+++ b/crates/marker/tests/store.rs
@@ -1,12 +1,12 @@
-//! Tests of the marker's store: how the ledger of configuration versions and their digests is written and
-//! migrated.
+//! Tests of the marker's store: how the ledger of configuration versions and their digests and the records of servers are
+//! written and migrated.
 
 use googletest::prelude::*;
 use granitelead_control_protocol::ledger::{VersionState, VERSIONS_MAX};
-use granitelead_control_protocol::messages::{Digest, Document, Ledger};
+use granitelead_control_protocol::messages::{Digest, Document, Instance, InstanceState, Ledger};
 use marker::core::initial_state;
 use marker::store::Store;
-use marker::types::PersistentState;
+use marker::types::{PersistentState, ServerWrite};
 use rusqlite::Connection;
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -84,3 +84,54 @@
         expect_that!(migrated.ledger.lookup(version), eq(VersionState::Content(digest)));
     }
 }
+
+fn server(id: &str, sequence: u64, state: InstanceState) -> Instance {
+    Instance { service: "s".into(), sequence, state, ..Instance::ended(id) }
+}
+
+fn servers(store: &Store) -> Vec<(String, u64, InstanceState)> {
+    let stored = store.servers().unwrap();
+    stored.into_iter().map(|server| (server.id, server.sequence, server.state)).collect()
+}
+
+fn write_of(records: Vec<(&str, Option<Instance>)>) -> ServerWrite {
+    let records = records.into_iter().map(|(id, record)| (id.to_owned(), record)).collect();
+    ServerWrite { ticket: 1, records }
+}
+
+#[gtest]
+fn each_server_has_a_record_that_is_replaced_and_removed_alone() {
+    let directory = TestDirectory::new("servers");
+    let mut store = Store::open(&directory.0).unwrap();
+    let ready = |id| Some(server(id, 1, InstanceState::Ready));
+    store.write_servers(&write_of(vec![("x", ready("x")), ("y", ready("y")), ("z", ready("z"))])).unwrap();
+    store.write_servers(&write_of(vec![("x", Some(Instance::ended("x"))), ("y", None)])).unwrap();
+    drop(store);
+    let store = Store::open(&directory.0).unwrap();
+    let gone = ("x".to_owned(), u64::MAX, InstanceState::Gone);
+    expect_that!(servers(&store), eq(&vec![gone, ("z".to_owned(), 1, InstanceState::Ready)]));
+}
+
+/// Guards against records that bring a server back which ended while an earlier program used the directory.
+#[gtest]
+fn the_list_of_an_earlier_program_replaces_the_live_records_and_no_deregistration() {
+    let directory = TestDirectory::new("earlier-servers");
+    let mut store = Store::open(&directory.0).unwrap();
+    let records = vec![
+        ("x", Some(Instance::ended("x"))),
+        ("y", Some(server("y", 5, InstanceState::Ready))),
+        ("z", Some(server("z", 5, InstanceState::Ready))),
+    ];
+    store.write_servers(&write_of(records)).unwrap();
+    drop(store);
+    let listed = vec![server("x", 4, InstanceState::Ready), server("z", 9, InstanceState::Draining)];
+    let mut value = Vec::new();
+    ciborium::into_writer(&listed, &mut value).unwrap();
+    let put = "INSERT INTO kept (name, value) VALUES ('servers', ?1)";
+    directory.connection().execute(put, [value]).unwrap();
+    for _ in 0..2 {
+        let store = Store::open(&directory.0).unwrap();
+        let gone = ("x".to_owned(), u64::MAX, InstanceState::Gone);
+        expect_that!(servers(&store), eq(&vec![gone, ("z".to_owned(), 9, InstanceState::Draining)]));
+    }
+}
