--- a/crates/proxy/tests/restarts.rs
+++ b/crates/proxy/tests/restarts.rs
@@ -4,14 +4,9 @@
 
 mod common;
 
-use common::Simulation;
+use common::{play, Simulation};
 use googletest::prelude::*;
 
-/// Plays a timeline on markers whose disks keep the servers.
-fn play(timeline: &str) -> Simulation {
-    common::play(timeline)
-}
-
 /// Guards against a deregistration that was acknowledged and then forgotten when all processes ended at once:
 /// the server was listed as ready again and was sent requests until it ended.
 #[gtest]
