--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -219,6 +219,7 @@
 }
 
 extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, size: u32) -> i32;
 }
 
@@ -466,7 +467,13 @@
     fn signal(&self, name: &str, signal: &str) {
         if let Some(pid) = self.pid(name) {
             self.note(&format!("SIG{signal} to {name}"));
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(pid.to_string()).status();
+            let number = match signal {
+                "STOP" => 19,
+                "CONT" => 18,
+                _ => 15,
+            };
+            // The process was started here and has not been waited for, so its id is still its own.
+            unsafe { kill(pid as i32, number) };
         }
     }
 
